Add rollouts: evidence, sequential verdict, condemned versions, paced moves

Ruled out: one node as judge (nodes are replaced at any time); a verdict only on sums since the start (a version that turns bad after 10,000 good answers would hide behind them, so the last two periods of 5 s are judged as well); one key for each rollout (a node would need a list call that the service's budget does not have). Change: core.rollout. Every node judges what it saw and what others told it; condemned is a grow-only fact that spreads node to node and is written when the service answers; forward steps go by compare-and-swap on one key. Found on the way: a node that did not know the rollout yet dropped its evidence; such a node now says it is not ready.

--- /dev/null
+++ b/core/src/main/java/org/fuchsiadeck/core/model/Rendezvous.java
@@ -0,0 +1,64 @@
+package org.fuchsiadeck.core.model;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.Function;
+
+/**
+ * Rendezvous hashing: every node ranks the same candidates for a key in the same order, and a candidate that goes moves
+ * only the keys it had.
+ */
+public final class Rendezvous {
+    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
+
+    private Rendezvous() {}
+
+    /**
+     * Ranks candidates for a key.
+     *
+     * @param <T> the type of the candidates
+     * @param key the key
+     * @param candidates the candidates
+     * @param name gives a candidate's unique name
+     * @return the candidates, the first choice first
+     */
+    public static <T> List<T> rank(String key, Collection<T> candidates, Function<? super T, String> name) {
+        Comparator<T> byScore = Comparator.comparingLong(c -> score(key, name.apply(c)));
+        return candidates.stream()
+                .sorted(byScore.reversed().thenComparing(name))
+                .toList();
+    }
+
+    /**
+     * Scores a candidate for a key.
+     *
+     * @param key the key
+     * @param name the candidate's unique name
+     * @return the score; the greatest wins
+     */
+    public static long score(String key, String name) {
+        return mix(hash(key) ^ Long.rotateLeft(hash(name), 32));
+    }
+
+    /**
+     * Hashes a text with FNV-1a.
+     *
+     * @param text the text
+     * @return the hash
+     */
+    public static long hash(String text) {
+        long h = FNV_OFFSET;
+        for (int i = 0; i < text.length(); i++) {
+            h = (h ^ text.charAt(i)) * FNV_PRIME;
+        }
+        return h;
+    }
+
+    private static long mix(long x) {
+        long h = (x ^ (x >>> 30)) * 0xbf58476d1ce4e5b9L;
+        h = (h ^ (h >>> 27)) * 0x94d049bb133111ebL;
+        return h ^ (h >>> 31);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/BookKeeper.java
@@ -0,0 +1,157 @@
+package org.fuchsiadeck.core.rollout;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Function;
+
+import org.fuchsiadeck.core.Effect;
+import org.fuchsiadeck.core.EventCode;
+import org.fuchsiadeck.core.Step;
+import org.fuchsiadeck.core.View;
+import org.fuchsiadeck.core.platform.PlatformEffect;
+import org.fuchsiadeck.core.platform.PlatformEvent;
+import org.fuchsiadeck.core.rollout.VerdictRule.Judgement;
+
+/**
+ * Keeps the book in the platform's service: reads and watches it, writes condemned versions and steps forward by
+ * compare-and-swap. A write whose answer is lost is settled by reading the book again.
+ */
+final class BookKeeper {
+    /** The key of the book in the platform's service. */
+    static final String KEY = "rollouts/book";
+
+    private static final String READ = "rollout/read/";
+    private static final String WRITE = "rollout/write/";
+    private static final long WATCH_MS = 20_000;
+
+    private BookKeeper() {}
+
+    static Step<RolloutState> answered(RolloutState state, View view, PlatformEvent event) {
+        if (event instanceof PlatformEvent.Found found && found.tag().startsWith(READ)) {
+            return read(state, view, found);
+        }
+        if (event instanceof PlatformEvent.Watched watched && watched.tag().startsWith(READ)) {
+            return watched(state, view, watched);
+        }
+        if (event instanceof PlatformEvent.Written written && written.tag().startsWith(WRITE)) {
+            return reread(state.withSync(state.sync().answered(true)));
+        }
+        if (event instanceof PlatformEvent.Conflicted lost && lost.tag().startsWith(WRITE)) {
+            return reread(state.withSync(state.sync().answered(true)));
+        }
+        if (event instanceof PlatformEvent.CallFailed failed && failed.tag().startsWith("rollout/")) {
+            boolean write = failed.tag().startsWith(WRITE);
+            return Step.of(state.withSync(
+                    state.sync().failed(write, view.nowMs(), view.self().seed())));
+        }
+        return Step.of(state);
+    }
+
+    static Step<RolloutState> learned(RolloutState state, View view, long revision, String text) {
+        RolloutState next = state.withKnown();
+        if (revision <= state.revision()) {
+            return Step.of(next);
+        }
+        try {
+            return accepted(next, view, revision, BookText.read(text));
+        } catch (IllegalArgumentException e) {
+            return Step.of(state, RolloutReducer.log(EventCode.CONFIG_REJECTED, KEY + ": " + e.getMessage()));
+        }
+    }
+
+    static Step<RolloutState> tend(RolloutState state, View view, Function<Rollout, Judgement> judge) {
+        List<Effect> out = new ArrayList<>();
+        RolloutState next = state;
+        boolean mayCall = next.sync().mayCall(view.nowMs());
+        if (mayCall && !next.sync().reading()) {
+            PlatformSync sync = next.sync().read();
+            out.add(watch(next, sync));
+            next = next.withSync(sync);
+        }
+        if (mayCall && !next.sync().writing() && next.revision() > 0) {
+            Optional<RolloutBook> wanted = wanted(next, view, judge);
+            if (wanted.isPresent()) {
+                PlatformSync sync = next.sync().write();
+                String tag = WRITE + sync.calls();
+                String text = BookText.write(wanted.get());
+                out.add(new PlatformEffect.Put(tag, KEY, text, OptionalLong.of(next.revision())));
+                next = next.withSync(sync);
+            }
+        }
+        return new Step<>(next, out);
+    }
+
+    private static Effect watch(RolloutState state, PlatformSync sync) {
+        String tag = READ + sync.calls();
+        return sync.watchAfter() == 0
+                ? new PlatformEffect.Get(tag, KEY)
+                : new PlatformEffect.Watch(tag, KEY, sync.watchAfter(), WATCH_MS);
+    }
+
+    private static Step<RolloutState> reread(RolloutState state) {
+        PlatformSync sync = state.sync().read();
+        return Step.of(state.withSync(sync), new PlatformEffect.Get(READ + sync.calls(), KEY));
+    }
+
+    private static Step<RolloutState> read(RolloutState state, View view, PlatformEvent.Found found) {
+        PlatformSync sync = state.sync().answered(false).watchingAfter(found.serviceRevision());
+        RolloutState next = state.withSync(sync).withKnown();
+        if (found.entry().isEmpty() || found.entry().get().value().isEmpty()) {
+            return Step.of(next);
+        }
+        PlatformEvent.Entry entry = found.entry().get();
+        return learned(next, view, entry.revision(), entry.value().get());
+    }
+
+    private static Step<RolloutState> watched(RolloutState state, View view, PlatformEvent.Watched watched) {
+        PlatformSync sync = state.sync().answered(false).watchingAfter(watched.serviceRevision());
+        RolloutState next = state.withSync(sync);
+        if (watched.gap()) {
+            return reread(next);
+        }
+        List<Effect> out = new ArrayList<>();
+        for (PlatformEvent.Entry entry : watched.entries()) {
+            if (entry.key().equals(KEY) && entry.value().isPresent()) {
+                Step<RolloutState> step =
+                        learned(next, view, entry.revision(), entry.value().get());
+                next = step.state();
+                out.addAll(step.effects());
+            }
+        }
+        return new Step<>(next, out);
+    }
+
+    private static Step<RolloutState> accepted(RolloutState state, View view, long revision, RolloutBook book) {
+        List<Effect> out = new ArrayList<>();
+        for (Rollout rollout : book.rollouts().values()) {
+            Stage before = state.saved()
+                    .rollouts()
+                    .get(rollout.service())
+                    .filter(r -> r.number() == rollout.number())
+                    .map(Rollout::stage)
+                    .getOrNull();
+            if (before != rollout.stage()) {
+                EventCode code = rollout.stage().ended() ? EventCode.ROLLOUT_ENDED : EventCode.ROLLOUT_MOVED;
+                out.add(RolloutReducer.log(code, rollout.service() + " " + rollout.number() + " " + rollout.stage()));
+            }
+        }
+        List<Condemnation> found = book.condemned().values().toJavaList();
+        Step<RolloutState> told = RolloutGossip.learned(state, view, found);
+        out.addAll(told.effects());
+        return new Step<>(told.state().withSaved(book, revision), out);
+    }
+
+    private static Optional<RolloutBook> wanted(RolloutState state, View view, Function<Rollout, Judgement> judge) {
+        RolloutBook book = state.book();
+        for (Rollout rollout : state.book().rollouts().values()) {
+            Optional<Rollout> moved = Pace.next(state, view, rollout, judge);
+            book = moved.isPresent() ? book.with(moved.get()) : book;
+        }
+        boolean unsaved = !book.equals(state.saved());
+        boolean mine =
+                RolloutGossip.aggregators(view, KEY).get(0).equals(view.self().id());
+        return unsaved && mine ? Optional.of(book) : Optional.empty();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/Histogram.java
@@ -0,0 +1,87 @@
+package org.fuchsiadeck.core.rollout;
+
+import io.vavr.collection.SortedMap;
+import io.vavr.collection.TreeMap;
+
+/**
+ * Counts of durations in buckets that grow by a quarter each.
+ *
+ * @param counts by bucket, the buckets without a count left out
+ */
+public record Histogram(SortedMap<Integer, Long> counts) {
+    /** No durations. */
+    public static final Histogram EMPTY = new Histogram(TreeMap.empty());
+
+    private static final double GROWTH = 1.25;
+
+    /**
+     * Returns the histogram with a duration added.
+     *
+     * @param ms the duration, in milliseconds
+     * @return the new histogram
+     */
+    public Histogram add(double ms) {
+        return new Histogram(counts.put(bucket(ms), 1L, Long::sum));
+    }
+
+    /**
+     * Returns the histogram with the durations of another one added.
+     *
+     * @param other the other histogram
+     * @return the new histogram
+     */
+    public Histogram plus(Histogram other) {
+        return new Histogram(counts.merge(other.counts, Long::sum));
+    }
+
+    /**
+     * Returns how many durations there are.
+     *
+     * @return the count
+     */
+    public long count() {
+        return counts.values().sum().longValue();
+    }
+
+    /**
+     * Returns how many durations lie above a bucket.
+     *
+     * @param bucket the bucket
+     * @return the count
+     */
+    long above(int bucket) {
+        return counts.filterKeys(b -> b > bucket).values().sum().longValue();
+    }
+
+    /**
+     * Returns the least bucket with no more than a share of the durations above it.
+     *
+     * @param share the share, 0 to 1
+     * @return the bucket
+     */
+    int bucketWithAbove(double share) {
+        long allowed = (long) (count() * share);
+        long above = count();
+        for (int bucket : counts.keySet()) {
+            above -= counts.get(bucket).get();
+            if (above <= allowed) {
+                return bucket;
+            }
+        }
+        return 0;
+    }
+
+    /**
+     * Returns a duration that no more than a share of the durations exceed.
+     *
+     * @param share the share, 0 to 1
+     * @return the upper bound of the bucket, in milliseconds
+     */
+    public double quantileAbove(double share) {
+        return Math.pow(GROWTH, bucketWithAbove(share) + 1);
+    }
+
+    private static int bucket(double ms) {
+        return (int) Math.floor(Math.log(Math.max(1, ms)) / Math.log(GROWTH));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/Judge.java
@@ -0,0 +1,46 @@
+package org.fuchsiadeck.core.rollout;
+
+import io.vavr.collection.TreeMap;
+import org.fuchsiadeck.core.rollout.VerdictRule.Judgement;
+import org.fuchsiadeck.core.rollout.VerdictRule.Verdict;
+
+/**
+ * Applies a rule to all that is known of a rollout: to the whole of it, and to the recent part, since some faults show
+ * late.
+ */
+final class Judge {
+    private Judge() {}
+
+    static Judgement judge(VerdictRule rule, RolloutState state, long nowMs, Rollout rollout) {
+        Evidence total = merge(state, rollout, nowMs, true);
+        Judgement whole = rule.judge(rollout, total);
+        if (whole.verdict() == Verdict.BAD) {
+            return whole;
+        }
+        Evidence recent = merge(state, rollout, nowMs, false);
+        Judgement late = rule.judge(rollout, baseline(rollout, total).plus(only(rollout.newVersion(), recent)));
+        return late.verdict() == Verdict.BAD ? late : whole;
+    }
+
+    static Evidence merge(RolloutState state, Rollout rollout, long nowMs, boolean whole) {
+        Evidence sum = state.own()
+                .get(rollout.service())
+                .map(o -> whole ? o.total() : o.at(nowMs).recent())
+                .getOrElse(Evidence.EMPTY);
+        for (Observations other :
+                state.others().getOrElse(rollout.service(), TreeMap.empty()).values()) {
+            if (other.number() == rollout.number()) {
+                sum = sum.plus(whole ? other.total() : other.at(nowMs).recent());
+            }
+        }
+        return sum;
+    }
+
+    private static Evidence baseline(Rollout rollout, Evidence total) {
+        return only(rollout.oldVersion(), total);
+    }
+
+    private static Evidence only(String version, Evidence evidence) {
+        return new Evidence(evidence.cells().filterKeys(c -> c.version().equals(version)));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/Observations.java
@@ -0,0 +1,39 @@
+package org.fuchsiadeck.core.rollout;
+
+/**
+ * What one node saw of one rollout, whole and lately.
+ *
+ * @param number the rollout's number
+ * @param total what was seen since the rollout began
+ * @param epochMs when the current period began, in monotonic milliseconds
+ * @param current what was seen in the current period
+ * @param previous what was seen in the period before
+ */
+record Observations(long number, Evidence total, long epochMs, Evidence current, Evidence previous) {
+    private static final long PERIOD_MS = 5_000;
+
+    static Observations start(long number, long nowMs) {
+        return new Observations(number, Evidence.EMPTY, nowMs, Evidence.EMPTY, Evidence.EMPTY);
+    }
+
+    static Observations of(long number, long nowMs, Evidence total, Evidence recent) {
+        return new Observations(number, total, nowMs, recent, Evidence.EMPTY);
+    }
+
+    Observations add(org.fuchsiadeck.core.request.AttemptObserved seen, long nowMs) {
+        Observations o = at(nowMs);
+        return new Observations(number, o.total.add(seen), o.epochMs, o.current.add(seen), o.previous);
+    }
+
+    Observations at(long nowMs) {
+        if (nowMs - epochMs < PERIOD_MS) {
+            return this;
+        }
+        Evidence before = nowMs - epochMs < 2 * PERIOD_MS ? current : Evidence.EMPTY;
+        return new Observations(number, total, nowMs, Evidence.EMPTY, before);
+    }
+
+    Evidence recent() {
+        return current.plus(previous);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/RolloutGossip.java
@@ -0,0 +1,127 @@
+package org.fuchsiadeck.core.rollout;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+
+import org.fuchsiadeck.core.Effect;
+import org.fuchsiadeck.core.EventCode;
+import org.fuchsiadeck.core.PeerReceived;
+import org.fuchsiadeck.core.Step;
+import org.fuchsiadeck.core.View;
+import org.fuchsiadeck.core.model.NodeId;
+import org.fuchsiadeck.core.model.Rendezvous;
+
+/**
+ * What entry nodes tell each other of rollouts: evidence to a few of them, condemned versions to all, and the book to
+ * those that lag.
+ */
+final class RolloutGossip {
+    private static final int AGGREGATORS = 2;
+    private static final int MAX_FAN_OUT = 8;
+    private static final int DIGEST_TICKS = 4;
+
+    /** The revision that a node gives which does not know the book. */
+    private static final long UNKNOWN = -1;
+
+    private RolloutGossip() {}
+
+    static Step<RolloutState> received(RolloutState state, View view, PeerReceived received) {
+        NodeId from = received.from();
+        if (received.message() instanceof RolloutMessage.Condemned condemned) {
+            return learned(state, view, condemned.found());
+        }
+        if (received.message() instanceof RolloutMessage.Observed seen) {
+            return observed(state, view, from, seen);
+        }
+        if (received.message() instanceof RolloutMessage.Digest digest) {
+            return Step.of(state, answer(state, from, digest).toArray(Effect[]::new));
+        }
+        if (received.message() instanceof RolloutMessage.Offer offer) {
+            return BookKeeper.learned(state, view, offer.revision(), offer.text());
+        }
+        return Step.of(state);
+    }
+
+    static Step<RolloutState> learned(RolloutState state, View view, List<Condemnation> found) {
+        List<Condemnation> fresh = found.stream()
+                .filter(c -> !state.book()
+                        .condemned()
+                        .get(c.version())
+                        .exists(known -> Condemnation.later(known, c).equals(known)))
+                .toList();
+        if (fresh.isEmpty()) {
+            return Step.of(state);
+        }
+        List<Effect> out = new ArrayList<>();
+        for (Condemnation c : fresh) {
+            String detail = c.version() + " in rollout " + c.number() + ": " + c.reason();
+            out.add(new Effect.Log(EventCode.VERSION_CONDEMNED, detail));
+        }
+        for (NodeId to : targets(state, view)) {
+            out.add(new Effect.Send(to, new RolloutMessage.Condemned(fresh)));
+        }
+        return new Step<>(state.withCondemned(fresh), out);
+    }
+
+    static List<Effect> reports(RolloutState state, View view) {
+        List<Effect> out = new ArrayList<>();
+        state.own().forEach((service, seen) -> {
+            RolloutMessage message = new RolloutMessage.Observed(
+                    service, seen.number(), seen.total(), seen.at(view.nowMs()).recent());
+            for (NodeId to : aggregators(view, service)) {
+                if (!to.equals(view.self().id())) {
+                    out.add(new Effect.Send(to, message));
+                }
+            }
+        });
+        List<NodeId> peers = List.copyOf(view.peers().alive().keySet());
+        if ((!state.known() || state.ticks() % DIGEST_TICKS == 0) && !peers.isEmpty()) {
+            long turn = state.ticks() / DIGEST_TICKS
+                    + Rendezvous.hash(view.self().id().value());
+            NodeId to = peers.get((int) Math.floorMod(turn, (long) peers.size()));
+            int known = state.book().condemned().size();
+            out.add(new Effect.Send(to, new RolloutMessage.Digest(state.known() ? state.revision() : UNKNOWN, known)));
+        }
+        return out;
+    }
+
+    static List<NodeId> aggregators(View view, String service) {
+        List<NodeId> nodes = new ArrayList<>(view.peers().alive().keySet());
+        nodes.add(view.self().id());
+        List<NodeId> ranked = Rendezvous.rank("rollout/" + service, nodes, NodeId::value);
+        return ranked.subList(0, Math.min(AGGREGATORS, ranked.size()));
+    }
+
+    private static Step<RolloutState> observed(
+            RolloutState state, View view, NodeId from, RolloutMessage.Observed seen) {
+        boolean current = state.book().rollouts().get(seen.service()).exists(r -> r.number() == seen.number());
+        if (!current) {
+            return Step.of(state);
+        }
+        Observations o = Observations.of(seen.number(), view.nowMs(), seen.total(), seen.recent());
+        return Step.of(state.withOther(seen.service(), from, o));
+    }
+
+    private static List<Effect> answer(RolloutState state, NodeId from, RolloutMessage.Digest digest) {
+        List<Effect> out = new ArrayList<>();
+        if (state.known() && digest.revision() < state.revision()) {
+            String text = BookText.write(state.saved());
+            out.add(new Effect.Send(from, new RolloutMessage.Offer(state.revision(), text)));
+        }
+        Collection<Condemnation> known = state.book().condemned().values().toJavaList();
+        if (!known.isEmpty()) {
+            out.add(new Effect.Send(from, new RolloutMessage.Condemned(List.copyOf(known))));
+        }
+        return out;
+    }
+
+    private static List<NodeId> targets(RolloutState state, View view) {
+        List<NodeId> peers = List.copyOf(view.peers().alive().keySet());
+        if (peers.size() <= 2 * MAX_FAN_OUT) {
+            return peers;
+        }
+        String key = view.self().id() + "/" + state.ticks();
+        return Rendezvous.rank(key, peers, NodeId::value).subList(0, MAX_FAN_OUT);
+    }
+}
--- a/core/src/main/java/org/fuchsiadeck/core/rollout/RolloutReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/RolloutReducer.java
@@ -1,16 +1,114 @@
 package org.fuchsiadeck.core.rollout;
 
+import java.util.ArrayList;
+import java.util.List;
+
+import org.fuchsiadeck.core.Effect;
 import org.fuchsiadeck.core.Event;
+import org.fuchsiadeck.core.EventCode;
+import org.fuchsiadeck.core.Lifecycle;
+import org.fuchsiadeck.core.PeerReceived;
 import org.fuchsiadeck.core.Reducer;
 import org.fuchsiadeck.core.Step;
 import org.fuchsiadeck.core.View;
+import org.fuchsiadeck.core.model.Backend;
+import org.fuchsiadeck.core.model.VersionShares.ServiceVersion;
+import org.fuchsiadeck.core.platform.PlatformEvent;
+import org.fuchsiadeck.core.request.AttemptObserved;
 
 /**
- * Reduces the events of this package.
+ * Gathers evidence on new versions, condemns the bad ones and moves the good ones forward. A version is condemned
+ * without the platform's service; a step forward needs it.
  */
 public final class RolloutReducer implements Reducer<RolloutState> {
+    private static final long TICK_MS = 500;
+
+    private final VerdictRule rule;
+
+    /** Creates a reducer with the sequential test. */
+    public RolloutReducer() {
+        this(new SequentialRule());
+    }
+
+    /**
+     * Creates a reducer.
+     *
+     * @param rule judges new versions
+     */
+    public RolloutReducer(VerdictRule rule) {
+        this.rule = rule;
+    }
+
     @Override
     public Step<RolloutState> reduce(RolloutState state, View view, Event event) {
+        if (event instanceof AttemptObserved seen) {
+            return observed(state, view, seen);
+        }
+        if (event instanceof PeerReceived received && received.message() instanceof RolloutMessage) {
+            return RolloutGossip.received(state, view, received);
+        }
+        if (event instanceof PlatformEvent.Listed listed) {
+            return Step.of(state.withServers(listed.backends()));
+        }
+        if (event instanceof PlatformEvent platform) {
+            return BookKeeper.answered(state, view, platform);
+        }
+        if (event instanceof Lifecycle.Started) {
+            return Step.of(state, nextTick(view));
+        }
+        if (event instanceof RolloutEvent.Tick) {
+            return tick(state, view);
+        }
         return Step.of(state);
     }
+
+    private Step<RolloutState> observed(RolloutState state, View view, AttemptObserved seen) {
+        Backend backend = seen.backend();
+        Rollout rollout = state.book().rollouts().get(backend.service()).getOrNull();
+        if (rollout == null || rollout.stage().ended()) {
+            return Step.of(state);
+        }
+        Observations before =
+                state.own().getOrElse(rollout.service(), Observations.start(rollout.number(), view.nowMs()));
+        RolloutState next = state.withOwn(rollout.service(), before.add(seen, view.nowMs()));
+        boolean judgeNow = seen.verdict() != AttemptObserved.Verdict.GOOD
+                && backend.version().equals(rollout.newVersion());
+        return judgeNow ? judged(next, view, rollout) : Step.of(next);
+    }
+
+    private Step<RolloutState> judged(RolloutState state, View view, Rollout rollout) {
+        if (!state.open(rollout)) {
+            return Step.of(state);
+        }
+        VerdictRule.Judgement judgement = Judge.judge(rule, state, view.nowMs(), rollout);
+        if (judgement.verdict() != VerdictRule.Verdict.BAD) {
+            return Step.of(state);
+        }
+        ServiceVersion version = new ServiceVersion(rollout.service(), rollout.newVersion());
+        Condemnation found = new Condemnation(version, rollout.number(), judgement.reason());
+        return RolloutGossip.learned(state, view, List.of(found));
+    }
+
+    private Step<RolloutState> tick(RolloutState state, View view) {
+        List<Effect> out = new ArrayList<>();
+        RolloutState next = state.ticked();
+        for (Rollout rollout : next.book().rollouts().values()) {
+            Step<RolloutState> step = judged(next, view, rollout);
+            next = step.state();
+            out.addAll(step.effects());
+        }
+        out.addAll(RolloutGossip.reports(next, view));
+        Step<RolloutState> kept = BookKeeper.tend(next, view, r -> Judge.judge(rule, state, view.nowMs(), r));
+        out.addAll(kept.effects());
+        out.add(nextTick(view));
+        return new Step<>(kept.state(), out);
+    }
+
+    private static Effect nextTick(View view) {
+        return new Effect.Schedule(view.nowMs() + TICK_MS, new RolloutEvent.Tick());
+    }
+
+    static Effect log(EventCode code, String detail) {
+        return new Effect.Log(code, detail);
+    }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/rollout/RolloutState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/RolloutState.java
@@ -1,26 +1,176 @@
 package org.fuchsiadeck.core.rollout;
 
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import io.vavr.collection.Map;
+import io.vavr.collection.TreeMap;
+import org.fuchsiadeck.core.model.Backend;
+import org.fuchsiadeck.core.model.BackendId;
+import org.fuchsiadeck.core.model.NodeId;
+import org.fuchsiadeck.core.model.Rendezvous;
 import org.fuchsiadeck.core.model.VersionShares;
+import org.fuchsiadeck.core.model.VersionShares.ServiceVersion;
 
 /**
  * Rollouts under way and condemned versions.
+ *
+ * @param saved the book as the platform's service has it, as far as known
+ * @param revision the revision of the saved book; 0 if it was never read
+ * @param known whether the book was read, or heard of from a node that knows it
+ * @param book the saved book with the condemned versions that are not saved yet
+ * @param own what this node saw, by service
+ * @param others what the other nodes said they saw, by service and node
+ * @param servers the backend servers that stay, by service and version
+ * @param sync the calls to the platform's service
+ * @param ticks ticks so far
+ * @param shares which versions may take traffic
  */
-public record RolloutState() {
+public record RolloutState(
+        RolloutBook saved,
+        long revision,
+        boolean known,
+        RolloutBook book,
+        Map<String, Observations> own,
+        Map<String, Map<NodeId, Observations>> others,
+        java.util.Map<ServiceVersion, List<BackendId>> servers,
+        PlatformSync sync,
+        long ticks,
+        VersionShares shares) {
+    /** Of three backend servers of the new version, one takes requests in the early stage. */
+    private static final int EARLY_DIVISOR = 3;
+
     /**
      * Returns the state of a node that has just started.
      *
      * @return the state
      */
     public static RolloutState initial() {
-        return new RolloutState();
+        return new RolloutState(
+                RolloutBook.EMPTY,
+                0,
+                false,
+                RolloutBook.EMPTY,
+                TreeMap.empty(),
+                TreeMap.empty(),
+                java.util.Map.of(),
+                PlatformSync.IDLE,
+                0,
+                VersionShares.NONE);
+    }
+
+    RolloutState withSaved(RolloutBook fresh, long atRevision) {
+        RolloutBook merged = fresh.withAll(book.condemned().values());
+        return with(fresh, atRevision, merged).forgetOld();
+    }
+
+    RolloutState withCondemned(Iterable<Condemnation> found) {
+        return with(saved, revision, book.withAll(found));
+    }
+
+    RolloutState withOwn(String service, Observations seen) {
+        return new RolloutState(
+                saved, revision, known, book, own.put(service, seen), others, servers, sync, ticks, shares);
+    }
+
+    RolloutState withOther(String service, NodeId node, Observations seen) {
+        Map<NodeId, Observations> byNode =
+                others.getOrElse(service, TreeMap.empty()).put(node, seen);
+        return new RolloutState(
+                saved, revision, known, book, own, others.put(service, byNode), servers, sync, ticks, shares);
+    }
+
+    RolloutState withServers(List<Backend> listed) {
+        java.util.Map<ServiceVersion, List<BackendId>> next = new HashMap<>();
+        for (Backend b : listed) {
+            if (!b.leaving()) {
+                ServiceVersion v = new ServiceVersion(b.service(), b.version());
+                next.merge(v, List.of(b.id()), RolloutState::join);
+            }
+        }
+        return next.equals(servers)
+                ? this
+                : new RolloutState(saved, revision, known, book, own, others, next, sync, ticks, shares)
+                        .with(saved, revision, book);
+    }
+
+    RolloutState withSync(PlatformSync next) {
+        return new RolloutState(saved, revision, known, book, own, others, servers, next, ticks, shares);
+    }
+
+    RolloutState withKnown() {
+        return new RolloutState(saved, revision, true, book, own, others, servers, sync, ticks, shares);
     }
 
     /**
-     * Returns which versions may take traffic.
+     * Returns why the node must not serve callers yet.
      *
-     * @return the shares
+     * @return one sentence for each reason; empty if the node is ready
      */
-    public VersionShares shares() {
-        return VersionShares.NONE;
+    public List<String> unready() {
+        return known ? List.of() : List.of("the rollouts and condemned versions are not known");
+    }
+
+    RolloutState ticked() {
+        return new RolloutState(saved, revision, known, book, own, others, servers, sync, ticks + 1, shares);
+    }
+
+    /**
+     * Tells whether a rollout is still to be judged and moved.
+     *
+     * @param rollout the rollout
+     * @return whether it has neither ended nor been condemned
+     */
+    boolean open(Rollout rollout) {
+        ServiceVersion fresh = new ServiceVersion(rollout.service(), rollout.newVersion());
+        return !rollout.stage().ended() && book.condemnation(fresh).isEmpty();
+    }
+
+    private RolloutState with(RolloutBook nextSaved, long atRevision, RolloutBook nextBook) {
+        return new RolloutState(
+                nextSaved, atRevision, known, nextBook, own, others, servers, sync, ticks, sharesOf(nextBook));
+    }
+
+    private RolloutState forgetOld() {
+        Map<String, Observations> mine = own.filter((s, o) -> current(s, o));
+        Map<String, Map<NodeId, Observations>> theirs =
+                others.map((s, byNode) -> io.vavr.Tuple.of(s, byNode.filterValues(o -> current(s, o))));
+        return new RolloutState(saved, revision, known, book, mine, theirs, servers, sync, ticks, shares);
+    }
+
+    private boolean current(String service, Observations seen) {
+        return book.rollouts().get(service).exists(r -> r.number() == seen.number());
+    }
+
+    private VersionShares sharesOf(RolloutBook next) {
+        java.util.Map<String, VersionShares.Split> splits = new HashMap<>();
+        Set<ServiceVersion> bad = new HashSet<>();
+        next.condemned().keySet().filter(v -> next.condemnation(v).isPresent()).forEach(bad::add);
+        for (Rollout r : next.rollouts().values()) {
+            boolean condemned = bad.contains(new ServiceVersion(r.service(), r.newVersion()));
+            double share = condemned ? 0 : r.share();
+            splits.put(
+                    r.service(),
+                    new VersionShares.Split(r.number(), r.oldVersion(), r.newVersion(), share, earlyServers(r)));
+        }
+        return new VersionShares(splits, bad);
+    }
+
+    private Set<BackendId> earlyServers(Rollout r) {
+        if (r.stage() != Stage.EARLY) {
+            return Set.of();
+        }
+        List<BackendId> all = servers.getOrDefault(new ServiceVersion(r.service(), r.newVersion()), List.of());
+        int few = (all.size() + EARLY_DIVISOR - 1) / EARLY_DIVISOR;
+        String key = r.service() + "/" + r.number();
+        return Set.copyOf(Rendezvous.rank(key, all, BackendId::value).subList(0, few));
+    }
+
+    private static List<BackendId> join(List<BackendId> a, List<BackendId> b) {
+        List<BackendId> all = new java.util.ArrayList<>(a);
+        all.addAll(b);
+        return all;
     }
 }
--- /dev/null
+++ b/core/src/test/java/org/fuchsiadeck/core/rollout/RolloutPropertyTest.java
@@ -0,0 +1,209 @@
+package org.fuchsiadeck.core.rollout;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.fuchsiadeck.core.Effect;
+import org.fuchsiadeck.core.Event;
+import org.fuchsiadeck.core.Identity;
+import org.fuchsiadeck.core.Lifecycle;
+import org.fuchsiadeck.core.PeerReceived;
+import org.fuchsiadeck.core.Step;
+import org.fuchsiadeck.core.View;
+import org.fuchsiadeck.core.config.Configuration;
+import org.fuchsiadeck.core.model.Address;
+import org.fuchsiadeck.core.model.NodeId;
+import org.fuchsiadeck.core.model.Peers;
+import org.fuchsiadeck.core.model.VersionShares.ServiceVersion;
+import org.fuchsiadeck.core.model.Zone;
+import org.fuchsiadeck.core.platform.PlatformEffect;
+import org.fuchsiadeck.core.platform.PlatformEvent;
+import org.fuchsiadeck.core.request.AttemptObserved.Verdict;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Several nodes' rollout reducers over a network that loses, repeats and reorders messages, and a platform's service
+ * that loses answers and has outages.
+ */
+class RolloutPropertyTest {
+    private static final ServiceVersion BAD = new ServiceVersion("assistant", "v2");
+    private static final int NODES = 5;
+    private static final int STEPS = 400;
+
+    @Property(tries = 60, seed = "20261204")
+    void condemnedSpreadsToEveryNodeAndNeverLifts(@ForAll long seed) {
+        World world = new World(seed, false);
+        world.runUntilReady(0);
+        for (int i = 0; i < 12; i++) {
+            world.deliver(0, Rollouts.seen("v2", "notice", Verdict.FAILED, -1));
+        }
+        assertThat(world.states.get(0).book().condemnation(BAD)).isPresent();
+        world.run(STEPS);
+        world.heal();
+        world.run(STEPS);
+        for (RolloutState state : world.states) {
+            assertThat(state.book().condemnation(BAD)).isPresent();
+            assertThat(state.shares().condemned()).contains(BAD);
+            assertThat(state.shares().services().get("assistant").newShare()).isZero();
+        }
+        assertThat(BookText.read(world.stored).rollouts().get("assistant").get().stage())
+                .isEqualTo(Stage.TAKEN_BACK);
+    }
+
+    @Property(tries = 30, seed = "20261204")
+    void condemnedSpreadsWhilePlatformServiceIsDown(@ForAll long seed) {
+        World world = new World(seed, false);
+        world.run(STEPS / 4);
+        world.heal();
+        world.run(STEPS / 4);
+        world.outage = true;
+        for (int i = 0; i < 12; i++) {
+            world.deliver(0, Rollouts.seen("v2", "notice", Verdict.FAILED, -1));
+        }
+        world.run(STEPS);
+        for (RolloutState state : world.states) {
+            assertThat(state.shares().condemned()).contains(BAD);
+        }
+    }
+
+    @Property(tries = 30, seed = "20261204")
+    void goodVersionTakesOverByTheDueTime(@ForAll long seed) {
+        World world = new World(seed, true);
+        world.heal();
+        world.run(3 * STEPS);
+        world.wallMs = Rollouts.DUE_MS;
+        world.run(STEPS);
+        Rollout rollout =
+                BookText.read(world.stored).rollouts().get("assistant").get();
+        assertThat(rollout.stage()).isEqualTo(Stage.FULL);
+        for (RolloutState state : world.states) {
+            assertThat(state.shares().services().get("assistant").newShare()).isEqualTo(1);
+        }
+    }
+
+    private static final class World {
+        final SplittableRandom random;
+        final boolean traffic;
+        final List<RolloutState> states = new ArrayList<>();
+        final List<Runnable> inFlight = new ArrayList<>();
+        final RolloutReducer reducer = new RolloutReducer();
+        String stored = BookText.write(RolloutBook.EMPTY.with(Rollouts.rollout(1, Stage.EARLY)));
+        long revision = 5;
+        long nowMs;
+        long wallMs = Rollouts.START_MS;
+        boolean outage;
+        boolean lossy = true;
+
+        World(long seed, boolean traffic) {
+            random = new SplittableRandom(seed);
+            this.traffic = traffic;
+            for (int i = 0; i < NODES; i++) {
+                states.add(RolloutState.initial());
+            }
+            for (int i = 0; i < NODES; i++) {
+                deliver(i, new Lifecycle.Started());
+            }
+        }
+
+        void heal() {
+            lossy = false;
+            outage = false;
+        }
+
+        void run(int steps) {
+            for (int i = 0; i < steps; i++) {
+                nowMs += random.nextInt(100);
+                wallMs += traffic ? 20 : 0;
+                outage = lossy ? random.nextInt(10) < 3 : outage;
+                if (traffic) {
+                    String version = random.nextInt(3) == 0 ? "v2" : "v1";
+                    deliver(random.nextInt(NODES), Rollouts.seen(version, "notice", Verdict.GOOD, 50));
+                }
+                step();
+            }
+        }
+
+        void runUntilReady(int node) {
+            for (int i = 0; i < 100 * STEPS && !states.get(node).unready().isEmpty(); i++) {
+                run(1);
+            }
+            assertThat(states.get(node).unready()).isEmpty();
+        }
+
+        void step() {
+            if (!inFlight.isEmpty()) {
+                int pick = random.nextInt(inFlight.size());
+                inFlight.remove(pick).run();
+            }
+        }
+
+        void deliver(int node, Event event) {
+            Step<RolloutState> step = reducer.reduce(states.get(node), view(node), event);
+            states.set(node, step.state());
+            step.effects().forEach(e -> run(node, e));
+        }
+
+        private void run(int node, Effect effect) {
+            if (effect instanceof Effect.Schedule timer) {
+                inFlight.add(() -> deliver(node, timer.event()));
+            } else if (effect instanceof Effect.Send send) {
+                int to = Integer.parseInt(send.to().value());
+                int copies = lossy ? random.nextInt(3) : 1;
+                for (int i = 0; i < copies; i++) {
+                    inFlight.add(() -> deliver(to, new PeerReceived(id(node), send.message())));
+                }
+            } else if (effect instanceof PlatformEffect call) {
+                inFlight.add(() -> deliver(node, answer(call)));
+            }
+        }
+
+        private Event answer(PlatformEffect call) {
+            if (outage) {
+                return new PlatformEvent.CallFailed(call.tag(), "outage", true);
+            }
+            boolean lost = lossy && random.nextInt(3) == 0;
+            Event answer = serve(call);
+            return lost ? new PlatformEvent.CallFailed(call.tag(), "answer lost", true) : answer;
+        }
+
+        private Event serve(PlatformEffect call) {
+            PlatformEvent.Entry entry = new PlatformEvent.Entry(BookKeeper.KEY, Optional.of(stored), revision);
+            if (call instanceof PlatformEffect.Get get) {
+                return new PlatformEvent.Found(get.tag(), Optional.of(entry), revision);
+            }
+            if (call instanceof PlatformEffect.Watch watch) {
+                List<PlatformEvent.Entry> changes = watch.afterRevision() < revision ? List.of(entry) : List.of();
+                return new PlatformEvent.Watched(watch.tag(), changes, revision, false);
+            }
+            PlatformEffect.Put put = (PlatformEffect.Put) call;
+            if (put.expectedRevision().getAsLong() != revision) {
+                return new PlatformEvent.Conflicted(put.tag(), revision);
+            }
+            stored = put.value();
+            revision++;
+            return new PlatformEvent.Written(put.tag(), revision);
+        }
+
+        private View view(int node) {
+            TreeMap<NodeId, Peers.Peer> peers = new TreeMap<>();
+            for (int i = 0; i < NODES; i++) {
+                if (i != node) {
+                    peers.put(id(i), new Peers.Peer(id(i), new Address("127.0.0.1", 1 + i), new Zone("norte")));
+                }
+            }
+            Identity self = new Identity(id(node), new Zone("norte"), new Address("127.0.0.1", 1 + node), node);
+            return new View(
+                    self, nowMs, wallMs, Configuration.NONE, states.get(node).shares(), new Peers(peers));
+        }
+
+        private static NodeId id(int node) {
+            return new NodeId(Integer.toString(node));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/fuchsiadeck/core/rollout/SequentialRuleTest.java
@@ -0,0 +1,94 @@
+package org.fuchsiadeck.core.rollout;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.IntFunction;
+
+import org.fuchsiadeck.core.request.AttemptObserved;
+import org.fuchsiadeck.core.request.AttemptObserved.Verdict;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class SequentialRuleTest {
+    private static final int TRIALS = 100;
+    private static final int ATTEMPTS = 400;
+
+    private final VerdictRule rule = new SequentialRule();
+    private final Rollout rollout = Rollouts.rollout(1, Stage.EARLY);
+
+    @Test
+    void neverCondemnsGoodVersionsUnderNoisyLoad() {
+        for (int seed = 0; seed < TRIALS; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            Evidence evidence = noisyOld(random);
+            for (int i = 0; i < ATTEMPTS; i++) {
+                evidence = evidence.add(noisy(random, "v2"));
+                assertThat(rule.judge(rollout, evidence).verdict()).isNotEqualTo(VerdictRule.Verdict.BAD);
+            }
+            assertThat(rule.judge(rollout, evidence).verdict()).isEqualTo(VerdictRule.Verdict.GOOD);
+        }
+    }
+
+    @Test
+    void condemnsVersionsThatAlwaysFailWithinTenAnswers() {
+        assertThat(answersUntilBad(i -> Rollouts.seen("v2", "notice", Verdict.FAILED, -1)))
+                .isLessThanOrEqualTo(10);
+    }
+
+    @Test
+    void condemnsVersionsThatCutOneAnswerInFive() {
+        assertThat(answersUntilBad(i -> Rollouts.seen("v2", "notice", i % 5 == 0 ? Verdict.CORRUPT : Verdict.GOOD, 50)))
+                .isLessThan(ATTEMPTS);
+    }
+
+    @Test
+    void condemnsVersionsThatAreTwiceAsSlow() {
+        SplittableRandom random = new SplittableRandom(7);
+        assertThat(answersUntilBad(i -> Rollouts.seen("v2", "notice", Verdict.GOOD, 160 + random.nextInt(80))))
+                .isLessThan(60);
+    }
+
+    @Test
+    void condemnsVersionsThatFailOnOneRouteOnly() {
+        assertThat(answersUntilBad(i -> i % 4 == 0
+                        ? Rollouts.seen("v2", "summary", Verdict.FAILED, -1)
+                        : Rollouts.seen("v2", "notice", Verdict.GOOD, 50)))
+                .isLessThan(40);
+    }
+
+    @Test
+    void staysOpenUntilEveryRouteIsSampled() {
+        Evidence evidence = noisyOld(new SplittableRandom(3));
+        for (int i = 0; i < ATTEMPTS; i++) {
+            evidence = evidence.add(Rollouts.seen("v2", "notice", Verdict.GOOD, 80));
+        }
+        assertThat(rule.judge(rollout, evidence).verdict()).isEqualTo(VerdictRule.Verdict.OPEN);
+    }
+
+    private int answersUntilBad(IntFunction<AttemptObserved> answer) {
+        Evidence evidence = noisyOld(new SplittableRandom(11));
+        for (int i = 0; i < ATTEMPTS; i++) {
+            evidence = evidence.add(answer.apply(i));
+            if (rule.judge(rollout, evidence).verdict() == VerdictRule.Verdict.BAD) {
+                return i + 1;
+            }
+        }
+        return Integer.MAX_VALUE;
+    }
+
+    private static Evidence noisyOld(SplittableRandom random) {
+        Evidence evidence = Evidence.EMPTY;
+        for (int i = 0; i < ATTEMPTS; i++) {
+            evidence = evidence.add(noisy(random, "v1"));
+        }
+        return evidence;
+    }
+
+    private static AttemptObserved noisy(SplittableRandom random, String version) {
+        String route = List.of("notice", "summary").get(random.nextInt(2));
+        boolean fails = random.nextInt(200) == 0;
+        int firstByteMs = 60 + random.nextInt(60) + (random.nextInt(20) == 0 ? 100 : 0);
+        return Rollouts.seen(version, route, fails ? Verdict.FAILED : Verdict.GOOD, fails ? -1 : firstByteMs);
+    }
+}
