--- /dev/null
+++ b/scenarios/src/test/java/org/fuchsiadeck/scenarios/NodeProcess.java
@@ -0,0 +1,167 @@
+package org.fuchsiadeck.scenarios;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/** One entry node as a process of its own. */
+final class NodeProcess implements AutoCloseable {
+    static final String TOKEN = "scenario-token";
+
+    private static final Duration CALL_LIMIT = Duration.ofSeconds(5);
+    private static final long STOP_LIMIT_S = 30;
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final HttpClient HTTP =
+            HttpClient.newBuilder().connectTimeout(CALL_LIMIT).build();
+
+    private final NodePlan plan;
+    private final Path log;
+    private final Process process;
+
+    private NodeProcess(NodePlan plan, Path log, Process process) {
+        this.plan = plan;
+        this.log = log;
+        this.process = process;
+    }
+
+    static NodeProcess start(NodePlan plan, Path folder) {
+        try {
+            Path settings = folder.resolve(plan.id() + ".toml");
+            Path log = folder.resolve(plan.id() + ".log");
+            Files.writeString(settings, plan.settings());
+            List<String> command = List.of(
+                    Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-Xmx192m",
+                    "-cp",
+                    System.getProperty("java.class.path"),
+                    "org.fuchsiadeck.cli.Main",
+                    "node",
+                    "--settings",
+                    settings.toString());
+            Process process = new ProcessBuilder(command)
+                    .redirectErrorStream(true)
+                    .redirectOutput(log.toFile())
+                    .start();
+            return new NodeProcess(plan, log, process);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    NodePlan plan() {
+        return plan;
+    }
+
+    void awaitReady() {
+        Waiting.until(plan.id() + " is ready; its log is\n" + log(), () -> ready() || !process.isAlive());
+        if (!process.isAlive()) {
+            throw new AssertionError(plan.id() + " ended with " + process.exitValue() + "\n" + log());
+        }
+    }
+
+    boolean ready() {
+        return get("/ready").status() == 200;
+    }
+
+    JsonNode dump() {
+        try {
+            return JSON.readTree(get("/dump").body());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Sends SIGTERM. */
+    void terminate() {
+        process.destroy();
+    }
+
+    /** Sends SIGKILL and waits for the end. */
+    void kill() {
+        process.destroyForcibly();
+        awaitExit();
+    }
+
+    void pause() {
+        signal("STOP");
+    }
+
+    void resume() {
+        signal("CONT");
+    }
+
+    boolean alive() {
+        return process.isAlive();
+    }
+
+    int awaitExit() {
+        try {
+            if (!process.waitFor(STOP_LIMIT_S, TimeUnit.SECONDS)) {
+                throw new AssertionError(plan.id() + " does not end\n" + log());
+            }
+            return process.exitValue();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+
+    String log() {
+        try {
+            return Files.exists(log) ? Files.readString(log) : "";
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    @Override
+    public void close() {
+        if (process.isAlive()) {
+            kill();
+        }
+    }
+
+    private void signal(String name) {
+        try {
+            String pid = Long.toString(process.pid());
+            int code = new ProcessBuilder("kill", "-" + name, pid).start().waitFor();
+            if (code != 0) {
+                throw new IllegalStateException("kill -" + name + " ended with " + code);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private Reply get(String path) {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + plan.operatorPort() + path))
+                .header("Authorization", "Bearer " + TOKEN)
+                .timeout(CALL_LIMIT)
+                .build();
+        try {
+            var answer = HTTP.send(request, BodyHandlers.ofString());
+            return new Reply(answer.statusCode(), answer.body());
+        } catch (IOException e) {
+            return new Reply(0, "");
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private record Reply(int status, String body) {}
+}
