--- a/core/src/main/java/org/fuchsiadeck/core/membership/MembershipReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/membership/MembershipReducer.java
@@ -1,16 +1,97 @@
 package org.fuchsiadeck.core.membership;
 
+import java.util.ArrayList;
+import java.util.List;
+
+import org.fuchsiadeck.core.Effect;
 import org.fuchsiadeck.core.Event;
+import org.fuchsiadeck.core.EventCode;
+import org.fuchsiadeck.core.Lifecycle;
+import org.fuchsiadeck.core.PeerReceived;
 import org.fuchsiadeck.core.Reducer;
 import org.fuchsiadeck.core.Step;
 import org.fuchsiadeck.core.View;
+import org.fuchsiadeck.core.membership.Member.Status;
+import org.fuchsiadeck.core.model.Peers;
+import org.fuchsiadeck.core.platform.PlatformEvent;
 
 /**
- * Reduces the events of this package.
+ * Decides which entry nodes are alive: probes them in turn, suspects those that do not answer, and spreads what it
+ * learns by updates on its probes.
  */
 public final class MembershipReducer implements Reducer<MembershipState> {
     @Override
     public Step<MembershipState> reduce(MembershipState state, View view, Event event) {
+        Step<MembershipState> step = decide(state, view, event);
+        if (step.state().table().entries() == state.table().entries()) {
+            return step;
+        }
+        List<Effect> out = new ArrayList<>(step.effects());
+        report(state.table(), step.state().table(), out);
+        return new Step<>(step.state(), out);
+    }
+
+    private static Step<MembershipState> decide(MembershipState state, View view, Event event) {
+        if (event instanceof PeerReceived received && received.message() instanceof MembershipMessage message) {
+            return new Conversation(view).received(state, message);
+        }
+        if (event instanceof MembershipEvent.Ticked ticked) {
+            return new Rounds(view).begin(state, ticked.dueMs());
+        }
+        if (event instanceof MembershipEvent.ProbeLate late) {
+            return new Rounds(view).probeLate(state, late.sequence());
+        }
+        if (event instanceof MembershipEvent.Seeded seeded) {
+            return Step.of(state.withSeeds(seeded.seeds()));
+        }
+        if (event instanceof PlatformEvent.Listed listed) {
+            return Step.of(state.withListed(
+                    listed.nodes().stream().map(Peers.Peer::address).toList()));
+        }
+        if (event instanceof Lifecycle.Started) {
+            MembershipState seeded = state.with(new SplitMix64(view.self().seed()));
+            return Step.of(seeded, new Effect.Schedule(view.nowMs(), new MembershipEvent.Ticked(view.nowMs())));
+        }
+        if (event instanceof Lifecycle.StopRequested) {
+            return new Rounds(view).leave(state);
+        }
         return Step.of(state);
     }
+
+    private static void report(MemberTable before, MemberTable after, List<Effect> out) {
+        boolean changed = false;
+        for (Member member : after.members()) {
+            Status was = before.entries()
+                    .get(member.id())
+                    .map(e -> e.member().status())
+                    .getOrNull();
+            if (was == member.status()) {
+                continue;
+            }
+            changed = true;
+            log(was, member, out);
+        }
+        if (changed || before.entries().size() != after.entries().size()) {
+            out.add(new Effect.Raise(new MembershipEvent.Changed(after.peers(), after.leavingPeers())));
+        }
+    }
+
+    private static void log(Status was, Member member, List<Effect> out) {
+        if (was == null && !member.serving()) {
+            return;
+        }
+        if (was == Status.SUSPECT && member.status() == Status.ALIVE) {
+            return;
+        }
+        out.add(new Effect.Log(code(member.status()), member.id() + " at " + member.address()));
+    }
+
+    private static EventCode code(Status status) {
+        return switch (status) {
+            case ALIVE -> EventCode.MEMBER_JOINED;
+            case SUSPECT -> EventCode.MEMBER_SUSPECTED;
+            case LEAVING -> EventCode.MEMBER_LEAVING;
+            case DEAD -> EventCode.MEMBER_DEAD;
+        };
+    }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/membership/MembershipState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/membership/MembershipState.java
@@ -1,26 +1,93 @@
 package org.fuchsiadeck.core.membership;
 
+import java.util.Optional;
+
+import io.vavr.collection.LinkedHashSet;
+import io.vavr.collection.Vector;
+import org.fuchsiadeck.core.model.Address;
+import org.fuchsiadeck.core.model.NodeId;
 import org.fuchsiadeck.core.model.Peers;
 
+import static java.util.Objects.requireNonNull;
+
 /**
  * What a node knows of the other entry nodes.
+ *
+ * @param table the statements about each node
+ * @param probing the probes in progress
+ * @param seeds addresses from the settings
+ * @param listed addresses from the platform's list
+ * @param random the source of random choices
+ * @param peers the entry nodes believed to be alive
  */
-public record MembershipState() {
+public record MembershipState(
+        MemberTable table,
+        Probing probing,
+        LinkedHashSet<Address> seeds,
+        LinkedHashSet<Address> listed,
+        SplitMix64 random,
+        Peers peers) {
+    public MembershipState {
+        requireNonNull(table, "table");
+        requireNonNull(probing, "probing");
+        requireNonNull(seeds, "seeds");
+        requireNonNull(listed, "listed");
+        requireNonNull(random, "random");
+        requireNonNull(peers, "peers");
+    }
+
     /**
      * Returns the state of a node that has just started.
      *
      * @return the state
      */
     public static MembershipState initial() {
-        return new MembershipState();
+        return new MembershipState(
+                MemberTable.empty(),
+                Probing.none(),
+                LinkedHashSet.empty(),
+                LinkedHashSet.empty(),
+                new SplitMix64(0),
+                Peers.NONE);
+    }
+
+    /**
+     * Finds where a node takes messages; dead and leaving nodes are found as well.
+     *
+     * @param id the node
+     * @return its address, if the node was heard of
+     */
+    public Optional<Address> address(NodeId id) {
+        return table.entries().get(id).map(e -> e.member().address()).toJavaOptional();
     }
 
     /**
-     * Returns the entry nodes believed to be alive.
+     * Returns all nodes known, dead and leaving ones included.
      *
-     * @return the peers
+     * @return the members, by id
      */
-    public Peers peers() {
-        return Peers.NONE;
+    public Vector<Member> members() {
+        return table.members();
+    }
+
+    MembershipState with(MemberTable next) {
+        Peers alive = next.entries() == table.entries() ? peers : next.peers();
+        return new MembershipState(next, probing, seeds, listed, random, alive);
+    }
+
+    MembershipState with(Probing next) {
+        return new MembershipState(table, next, seeds, listed, random, peers);
+    }
+
+    MembershipState with(SplitMix64 next) {
+        return new MembershipState(table, probing, seeds, listed, next, peers);
+    }
+
+    MembershipState withSeeds(Iterable<Address> next) {
+        return new MembershipState(table, probing, LinkedHashSet.ofAll(next), listed, random, peers);
+    }
+
+    MembershipState withListed(Iterable<Address> next) {
+        return new MembershipState(table, probing, seeds, LinkedHashSet.ofAll(next), random, peers);
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/fuchsiadeck/core/membership/Rounds.java
@@ -0,0 +1,188 @@
+package org.fuchsiadeck.core.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.vavr.collection.LinkedHashSet;
+import io.vavr.collection.Vector;
+import org.fuchsiadeck.core.Effect;
+import org.fuchsiadeck.core.Step;
+import org.fuchsiadeck.core.View;
+import org.fuchsiadeck.core.membership.Member.Status;
+import org.fuchsiadeck.core.membership.MembershipMessage.PingRequest;
+import org.fuchsiadeck.core.membership.Probing.Probe;
+import org.fuchsiadeck.core.membership.SplitMix64.Drawn;
+import org.fuchsiadeck.core.model.Address;
+import org.fuchsiadeck.core.model.NodeId;
+
+/**
+ * The rounds of probing: in each one node is probed, and what has timed out is dealt with. A node sends a bounded number
+ * of messages in a round, whatever the size of the fleet.
+ */
+final class Rounds {
+    /** Time from one probe to the next, in milliseconds. */
+    static final long PERIOD_MS = 1_000;
+
+    /** How long a direct probe may take before others are asked to probe, in milliseconds. */
+    static final long DIRECT_PROBE_MS = 300;
+
+    private static final int INDIRECT_PROBES = 2;
+    private static final long SUSPICION_BASE_MS = 3_000;
+    private static final long SUSPICION_PER_DOUBLING_MS = 500;
+    private static final int ROUNDS_PER_SYNC = 30;
+    private static final int ROUNDS_PER_LOST_CONTACT = 5;
+    private static final int SEEDS_AT_A_TIME = 3;
+    private static final int LEAVE_FANOUT = 16;
+
+    private final View view;
+    private final long nowMs;
+    private final Conversation conversation;
+
+    Rounds(View view) {
+        this.view = view;
+        this.nowMs = view.nowMs();
+        this.conversation = new Conversation(view);
+    }
+
+    Step<MembershipState> begin(MembershipState state, long dueMs) {
+        List<Effect> out = new ArrayList<>();
+        boolean paused = nowMs - dueMs > PERIOD_MS;
+        MembershipState next = paused ? state.with(state.table().restartSuspicions(nowMs)) : judge(state);
+        next = next.with(next.table().expire(nowMs, suspicionMs(next)));
+        next = next.with(next.probing().nextRound(nowMs));
+        next = probe(next, out);
+        next = reachOut(next, out);
+        long atMs = nowMs + PERIOD_MS;
+        out.add(new Effect.Schedule(atMs, new MembershipEvent.Ticked(atMs)));
+        return new Step<>(next, out);
+    }
+
+    private MembershipState judge(MembershipState state) {
+        Probe probe = state.probing().current().getOrNull();
+        if (probe == null) {
+            return state;
+        }
+        MemberTable table = state.table();
+        Status status = table.entries()
+                .get(probe.target())
+                .map(e -> e.member().status())
+                .getOrElse(Status.DEAD);
+        Status next = status == Status.LEAVING ? Status.DEAD : Status.SUSPECT;
+        return state.with(table.mark(probe.target(), next, nowMs));
+    }
+
+    private static long suspicionMs(MembershipState state) {
+        int nodes = state.table().entries().size() + 1;
+        int doublings = Integer.SIZE - Integer.numberOfLeadingZeros(nodes);
+        return SUSPICION_BASE_MS + SUSPICION_PER_DOUBLING_MS * doublings;
+    }
+
+    private MembershipState probe(MembershipState state, List<Effect> out) {
+        MembershipState next = state;
+        Vector<Member> order =
+                next.probing().order().flatMap(id -> present(state).find(m -> m.id().equals(id)));
+        if (order.isEmpty()) {
+            Drawn<Member> drawn = next.random().shuffle(present(next));
+            order = drawn.items();
+            next = next.with(drawn.random());
+        }
+        if (order.isEmpty()) {
+            return next;
+        }
+        Member target = order.head();
+        Probing probing = next.probing().withOrder(order.tail().map(Member::id)).probe(target.id());
+        next = next.with(probing);
+        long sequence = probing.sequence();
+        out.add(new Effect.Schedule(nowMs + DIRECT_PROBE_MS, new MembershipEvent.ProbeLate(sequence)));
+        return conversation.ping(next, target.id(), target.address(), sequence, out);
+    }
+
+    private static Vector<Member> present(MembershipState state) {
+        return state.members().filter(m -> m.status() != Status.DEAD);
+    }
+
+    Step<MembershipState> probeLate(MembershipState state, long sequence) {
+        Probe probe = state.probing().current().getOrNull();
+        if (probe == null || probe.sequence() != sequence) {
+            return Step.of(state);
+        }
+        Member target = state.table()
+                .entries()
+                .get(probe.target())
+                .map(MemberTable.Entry::member)
+                .getOrNull();
+        if (target == null) {
+            return Step.of(state);
+        }
+        Vector<Member> others = state.members().filter(m -> m.status() == Status.ALIVE && !m.id().equals(target.id()));
+        Drawn<Member> helpers = state.random().sample(others, INDIRECT_PROBES);
+        MembershipState next = state.with(helpers.random());
+        List<Effect> out = new ArrayList<>();
+        for (Member helper : helpers.items()) {
+            MemberTable.Taken taken = next.table().take(helper.id(), nowMs);
+            Member sender = next.table().self(view.self());
+            out.add(Conversation.send(helper.address(), new PingRequest(sequence, target, sender, taken.updates())));
+            next = next.with(taken.table());
+        }
+        return new Step<>(next, out);
+    }
+
+    /** Joins through the seeds, now and then tries a node that is lost, and rarely compares whole tables. */
+    private MembershipState reachOut(MembershipState state, List<Effect> out) {
+        if (state.peers().alive().isEmpty()) {
+            return syncWith(state, absent(state), SEEDS_AT_A_TIME, out);
+        }
+        if (state.probing().round() % ROUNDS_PER_LOST_CONTACT == 0) {
+            return pingLost(state, out);
+        }
+        if (state.probing().round() % ROUNDS_PER_SYNC == 1) {
+            Vector<Address> alive = present(state).map(Member::address);
+            return syncWith(state, alive, 1, out);
+        }
+        return state;
+    }
+
+    private MembershipState pingLost(MembershipState state, List<Effect> out) {
+        Drawn<Address> drawn = state.random().sample(absent(state), 1);
+        MembershipState next = state.with(drawn.random());
+        for (Address address : drawn.items()) {
+            NodeId last = state.members()
+                    .find(m -> m.address().equals(address))
+                    .map(Member::id)
+                    .getOrElse(view.self().id());
+            next = conversation.ping(next, last, address, 0, out);
+        }
+        return next;
+    }
+
+    private MembershipState syncWith(MembershipState state, Vector<Address> addresses, int count, List<Effect> out) {
+        Drawn<Address> drawn = state.random().sample(addresses, count);
+        for (Address address : drawn.items()) {
+            out.add(conversation.sync(state, address, true));
+        }
+        return state.with(drawn.random());
+    }
+
+    /** The addresses where a node may be that is not known to be alive. */
+    private Vector<Address> absent(MembershipState state) {
+        LinkedHashSet<Address> dead = LinkedHashSet.ofAll(
+                state.members().filter(m -> m.status() == Status.DEAD).map(Member::address));
+        return state.seeds()
+                .addAll(state.listed())
+                .addAll(dead)
+                .removeAll(present(state).map(Member::address))
+                .remove(view.self().peerAddress())
+                .toVector();
+    }
+
+    Step<MembershipState> leave(MembershipState state) {
+        MembershipState next = state.with(state.table().leave());
+        Drawn<Member> drawn = next.random().sample(present(next), LEAVE_FANOUT);
+        next = next.with(drawn.random());
+        List<Effect> out = new ArrayList<>();
+        for (Member member : drawn.items()) {
+            next = conversation.ping(next, member.id(), member.address(), 0, out);
+        }
+        return new Step<>(next, out);
+    }
+}
