Learn the configuration from the platform's service and from peers

Cause: nodes need one checked configuration, learnt from config/current by watch or poll, and values for each subject.

Ruled out: parsing within the reducer (a text of 1 MB would hold up every decision, and core would need a TOML parser); a parser handed to the reducer as a function (same pause, and a recorded trace would need the parser to replay). jackson-dataformat-toml was ruled out because its errors of binding name no line for unknown keys of records.

Change: Configuration.policyFor and explain over Subject; PolicyValue lists names, units and bounds.

--- /dev/null
+++ b/core/src/main/java/org/fuchsiadeck/core/config/ConfigEffect.java
@@ -0,0 +1,27 @@
+package org.fuchsiadeck.core.config;
+
+import org.fuchsiadeck.core.Effect;
+import org.fuchsiadeck.core.model.Checks;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * What the configuration asks of the node.
+ */
+public sealed interface ConfigEffect extends Effect {
+    /**
+     * Reads a value of the platform's service as a configuration. The answer is a {@link ConfigEvent.Parsed} or a
+     * {@link ConfigEvent.Rejected}.
+     *
+     * @param revision the revision of the value
+     * @param value the value as the platform's service holds it
+     * @param source where the value came from: {@code platform}, or the id of a peer
+     */
+    record Parse(long revision, String value, String source) implements ConfigEffect {
+        public Parse {
+            Checks.inRange(revision, 1, Long.MAX_VALUE, "revision");
+            requireNonNull(value, "value");
+            Checks.notBlank(source, "source");
+        }
+    }
+}
--- a/core/src/main/java/org/fuchsiadeck/core/config/ConfigState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/ConfigState.java
@@ -1,35 +1,122 @@
 package org.fuchsiadeck.core.config;
 
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+import org.fuchsiadeck.core.model.NodeId;
+
+import static java.util.Objects.requireNonNull;
 
 /**
  * What a node knows of the configuration.
+ *
+ * @param current the configuration in force
+ * @param value the value of the platform's service that it was read from
+ * @param candidate the newer configuration being read, and the newest that could not be read
+ * @param reading the calls to the platform's service
+ * @param exchange the messages with other entry nodes
+ * @param startup what a node must hear before it serves callers
+ * @param random the generator of the node's random choices
+ * @param unready why the node must not serve callers yet, one sentence for each reason; empty if the node is ready
  */
-public record ConfigState() {
+public record ConfigState(
+        Configuration current,
+        String value,
+        Candidate candidate,
+        Reading reading,
+        Exchange exchange,
+        Startup startup,
+        SplitMix64 random,
+        List<String> unready) {
+    public ConfigState {
+        requireNonNull(current, "current");
+        requireNonNull(value, "value");
+        requireNonNull(candidate, "candidate");
+        requireNonNull(reading, "reading");
+        requireNonNull(exchange, "exchange");
+        requireNonNull(startup, "startup");
+        requireNonNull(random, "random");
+        unready = List.copyOf(unready);
+    }
+
     /**
      * Returns the state of a node that has just started.
      *
      * @return the state
      */
     public static ConfigState initial() {
-        return new ConfigState();
+        return new ConfigState(
+                Configuration.NONE,
+                "",
+                new Candidate(0, 0, 0),
+                new Reading(0, Optional.empty(), OptionalLong.empty(), 0, 0, false),
+                new Exchange(0, 0, 0),
+                new Startup(false, 0, false, Set.of(), 0, 0),
+                new SplitMix64(0),
+                List.of("no configuration is known"));
     }
 
     /**
-     * Returns the configuration in force.
+     * Configurations not in force.
      *
-     * @return the configuration
+     * @param parsing the revision being read; 0 for none
+     * @param sinceMs when the reading began, in monotonic milliseconds
+     * @param rejected the newest revision that could not be read; 0 for none
      */
-    public Configuration current() {
-        return Configuration.NONE;
-    }
+    record Candidate(long parsing, long sinceMs, long rejected) {}
+
+    /**
+     * The calls to the platform's service.
+     *
+     * @param sequence the number of the last call
+     * @param call the call in progress
+     * @param position the revision to watch after; empty if the key must be read first
+     * @param nextMs when the next call is due, in monotonic milliseconds
+     * @param failures calls that failed since the last one that did not
+     * @param unavailable whether the service was logged as unavailable
+     */
+    record Reading(
+            long sequence,
+            Optional<Call> call,
+            OptionalLong position,
+            long nextMs,
+            int failures,
+            boolean unavailable) {}
+
+    /**
+     * A call in progress.
+     *
+     * @param tag the tag that comes back with the result
+     * @param sentMs when the call was made, in monotonic milliseconds
+     * @param deadlineMs when the call is given up, in monotonic milliseconds
+     */
+    record Call(String tag, long sentMs, long deadlineMs) {}
+
+    /**
+     * The messages with other entry nodes.
+     *
+     * @param nextMs when the next announcement to a random peer is due, in monotonic milliseconds
+     * @param fetching the revision last asked for
+     * @param fetchedMs when it was asked for, in monotonic milliseconds
+     */
+    record Exchange(long nextMs, long fetching, long fetchedMs) {}
 
     /**
-     * Returns why the node must not serve callers yet.
+     * What a node must hear before it serves callers.
      *
-     * @return one sentence for each reason; empty if the node is ready
+     * @param done whether the node has been ready; it stays so
+     * @param sinceMs when the node started, in monotonic milliseconds
+     * @param platformHeard whether the platform's service has answered a read
+     * @param heard the peers that have named their revision
+     * @param newest the newest revision heard of
+     * @param nextQueryMs when the peers are asked again, in monotonic milliseconds
      */
-    public List<String> unready() {
-        return List.of("no configuration is known");
+    record Startup(
+            boolean done, long sinceMs, boolean platformHeard, Set<NodeId> heard, long newest, long nextQueryMs) {
+        Startup {
+            heard = Set.copyOf(heard);
+        }
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/config/Configuration.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/Configuration.java
@@ -1,7 +1,10 @@
 package org.fuchsiadeck.core.config;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.stream.Stream;
 
 import org.fuchsiadeck.core.model.Checks;
 
@@ -39,4 +42,53 @@
     public Optional<Route> route(String method, String path) {
         return routes.stream().filter(r -> r.matches(method, path)).findFirst();
     }
+
+    /**
+     * Returns the values in force for a subject: the defaults, then every exception that matches and has not expired,
+     * in order.
+     *
+     * @param subject what the values are for
+     * @param wallMs the wall-clock time, in milliseconds since 1970
+     * @return the values
+     */
+    public Policy policyFor(Subject subject, long wallMs) {
+        Policy policy = defaults;
+        for (ExceptionRule rule : exceptions) {
+            if (rule.matches(subject) && !rule.expired(wallMs)) {
+                policy = policy.with(rule.set());
+            }
+        }
+        return policy;
+    }
+
+    /**
+     * Explains the values that {@link #policyFor} gives.
+     *
+     * @param subject what the values are for
+     * @param wallMs the wall-clock time, in milliseconds since 1970
+     * @return one explanation for each value, in the order of {@link PolicyValue}
+     */
+    public List<Explanation> explain(Subject subject, long wallMs) {
+        return Stream.of(PolicyValue.values())
+                .map(v -> explain(v, subject, wallMs))
+                .toList();
+    }
+
+    private Explanation explain(PolicyValue value, Subject subject, long wallMs) {
+        List<Integer> matching = new ArrayList<>();
+        List<Integer> expired = new ArrayList<>();
+        for (int i = 0; i < exceptions.size(); i++) {
+            ExceptionRule rule = exceptions.get(i);
+            if (rule.matches(subject) && rule.set().containsKey(value.key())) {
+                (rule.expired(wallMs) ? expired : matching).add(i + 1);
+            }
+        }
+        if (matching.isEmpty()) {
+            return new Explanation(value, value.of(defaults), OptionalInt.empty(), "", List.of(), expired);
+        }
+        int last = matching.remove(matching.size() - 1);
+        ExceptionRule rule = exceptions.get(last - 1);
+        long inForce = rule.set().get(value.key());
+        return new Explanation(value, inForce, OptionalInt.of(last), rule.reason(), matching, expired);
+    }
 }
--- /dev/null
+++ b/core/src/main/java/org/fuchsiadeck/core/config/Draft.java
@@ -0,0 +1,186 @@
+package org.fuchsiadeck.core.config;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+import org.fuchsiadeck.core.Effect;
+import org.fuchsiadeck.core.EventCode;
+import org.fuchsiadeck.core.Step;
+import org.fuchsiadeck.core.View;
+import org.fuchsiadeck.core.model.NodeId;
+import org.fuchsiadeck.core.model.Peers;
+
+/**
+ * A working copy of the state while one event is reduced, with the effects gathered so far.
+ */
+final class Draft {
+    final View view;
+    private final List<Effect> effects = new ArrayList<>();
+    private ConfigState state;
+
+    Draft(ConfigState state, View view) {
+        this.state = state;
+        this.view = view;
+    }
+
+    ConfigState state() {
+        return state;
+    }
+
+    long nowMs() {
+        return view.nowMs();
+    }
+
+    /** The revision in force. */
+    long revision() {
+        return state.current().revision();
+    }
+
+    /** The newest revision that needs no further look: in force, or known to be unusable. */
+    long settled() {
+        return Math.max(revision(), state.candidate().rejected());
+    }
+
+    void effect(Effect effect) {
+        effects.add(effect);
+    }
+
+    void log(EventCode code, String detail) {
+        effects.add(new Effect.Log(code, detail));
+    }
+
+    void send(NodeId to, ConfigMessage message) {
+        effects.add(new Effect.Send(to, message));
+    }
+
+    Step<ConfigState> step() {
+        return new Step<>(state, effects);
+    }
+
+    long randomBelow(long bound) {
+        SplitMix64 random = state.random().next();
+        random(random);
+        return random.below(bound);
+    }
+
+    /** Chooses some of the peers alive at random; all of them if there are no more. */
+    List<Peers.Peer> randomPeers(int count, Set<NodeId> except) {
+        List<Peers.Peer> all = new ArrayList<>(view.peers().alive().values());
+        all.removeIf(p -> except.contains(p.id()));
+        List<Peers.Peer> chosen = new ArrayList<>();
+        while (chosen.size() < count && !all.isEmpty()) {
+            chosen.add(all.remove((int) randomBelow(all.size())));
+        }
+        return chosen;
+    }
+
+    void inForce(Configuration configuration, String value) {
+        state = new ConfigState(
+                configuration,
+                value,
+                state.candidate(),
+                state.reading(),
+                state.exchange(),
+                state.startup(),
+                state.random(),
+                state.unready());
+    }
+
+    void candidate(long parsing, long rejected) {
+        ConfigState.Candidate c = new ConfigState.Candidate(parsing, nowMs(), rejected);
+        state = new ConfigState(
+                state.current(),
+                state.value(),
+                c,
+                state.reading(),
+                state.exchange(),
+                state.startup(),
+                state.random(),
+                state.unready());
+    }
+
+    void reading(ConfigState.Reading reading) {
+        state = new ConfigState(
+                state.current(),
+                state.value(),
+                state.candidate(),
+                reading,
+                state.exchange(),
+                state.startup(),
+                state.random(),
+                state.unready());
+    }
+
+    /** Records the end of the call in progress and when the next is due. */
+    void idle(OptionalLong position, long nextMs, int failures, boolean unavailable) {
+        long sequence = state.reading().sequence();
+        reading(new ConfigState.Reading(sequence, Optional.empty(), position, nextMs, failures, unavailable));
+    }
+
+    void exchange(ConfigState.Exchange exchange) {
+        state = new ConfigState(
+                state.current(),
+                state.value(),
+                state.candidate(),
+                state.reading(),
+                exchange,
+                state.startup(),
+                state.random(),
+                state.unready());
+    }
+
+    void startup(ConfigState.Startup startup, List<String> unready) {
+        state = new ConfigState(
+                state.current(),
+                state.value(),
+                state.candidate(),
+                state.reading(),
+                state.exchange(),
+                startup,
+                state.random(),
+                unready);
+    }
+
+    void heardPlatform() {
+        ConfigState.Startup s = state.startup();
+        startup(
+                new ConfigState.Startup(s.done(), s.sinceMs(), true, s.heard(), s.newest(), s.nextQueryMs()),
+                state.unready());
+    }
+
+    void heardOf(long revision) {
+        ConfigState.Startup s = state.startup();
+        long newest = Math.max(s.newest(), revision);
+        startup(
+                new ConfigState.Startup(s.done(), s.sinceMs(), s.platformHeard(), s.heard(), newest, s.nextQueryMs()),
+                state.unready());
+    }
+
+    void heardPeer(NodeId peer) {
+        ConfigState.Startup s = state.startup();
+        if (s.done() || s.heard().contains(peer)) {
+            return;
+        }
+        Set<NodeId> heard = new HashSet<>(s.heard());
+        heard.add(peer);
+        startup(
+                new ConfigState.Startup(false, s.sinceMs(), s.platformHeard(), heard, s.newest(), s.nextQueryMs()),
+                state.unready());
+    }
+
+    void random(SplitMix64 random) {
+        state = new ConfigState(
+                state.current(),
+                state.value(),
+                state.candidate(),
+                state.reading(),
+                state.exchange(),
+                state.startup(),
+                random,
+                state.unready());
+    }
+}
--- a/core/src/main/java/org/fuchsiadeck/core/config/ExceptionRule.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/ExceptionRule.java
@@ -5,6 +5,8 @@
 
 import org.fuchsiadeck.core.model.Checks;
 
+import static java.util.Objects.requireNonNull;
+
 /**
  * A departure from the defaults for some subjects, with its reason.
  *
@@ -20,5 +22,40 @@
         Checks.notBlank(reason, "reason");
         match = Map.copyOf(match);
         set = Map.copyOf(set);
+        requireNonNull(expiresWallMs, "expiresWallMs");
+        match.forEach((key, value) -> checkMatch(key, value));
+        Policy.DEFAULT.with(set);
+    }
+
+    /**
+     * Tells whether a subject is meant, whatever the time.
+     *
+     * @param subject the subject
+     * @return whether it is all that the rule names
+     */
+    public boolean matches(Subject subject) {
+        for (Map.Entry<String, String> want : match.entrySet()) {
+            if (!want.getValue().equals(subject.get(want.getKey()))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /**
+     * Tells whether the exception has ended.
+     *
+     * @param wallMs the wall-clock time, in milliseconds since 1970
+     * @return whether it no longer applies
+     */
+    public boolean expired(long wallMs) {
+        return expiresWallMs.isPresent() && wallMs >= expiresWallMs.getAsLong();
+    }
+
+    private static void checkMatch(String key, String value) {
+        if (!Subject.KEYS.contains(key)) {
+            throw new IllegalArgumentException("match must name one of " + Subject.KEYS + ", was " + key);
+        }
+        Checks.notBlank(value, key);
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/config/Policy.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/Policy.java
@@ -1,6 +1,6 @@
 package org.fuchsiadeck.core.config;
 
-import org.fuchsiadeck.core.model.Checks;
+import java.util.Map;
 
 /**
  * The tunable values that defaults give and exceptions change. The names of the components, in snake case, are the
@@ -40,22 +40,61 @@
     public static final Policy DEFAULT =
             new Policy(300, 5_000, 2_000, 60_000, 1_000, 3, 10, 32, 256, 2_000, 500, 5, 600_000, 100);
 
-    private static final long MAX_MS = 86_400_000;
-
     public Policy {
-        Checks.inRange(connectTimeoutMs, 1, MAX_MS, "connect_timeout_ms");
-        Checks.inRange(firstByteTimeoutMs, 1, MAX_MS, "first_byte_timeout_ms");
-        Checks.inRange(chunkTimeoutMs, 1, MAX_MS, "chunk_timeout_ms");
-        Checks.inRange(connectionMaxAgeMs, 1, MAX_MS, "connection_max_age_ms");
-        Checks.inRange(freshConnectionMs, 0, MAX_MS, "fresh_connection_ms");
-        Checks.inRange(maxAttempts, 1, 10, "max_attempts");
-        Checks.inRange(retryBudgetPercent, 0, 100, "retry_budget_percent");
-        Checks.inRange(backendConcurrency, 1, 100_000, "backend_concurrency");
-        Checks.inRange(queueLimit, 0, 1_000_000, "queue_limit");
-        Checks.inRange(suspectMs, 0, MAX_MS, "suspect_ms");
-        Checks.inRange(leavingGraceMs, 0, MAX_MS, "leaving_grace_ms");
-        Checks.inRange(earlySharePercent, 0, 100, "early_share_percent");
-        Checks.inRange(claimLifetimeMs, 1_000, MAX_MS, "claim_lifetime_ms");
-        Checks.inRange(weight, 1, 10_000, "weight");
+        PolicyValue.CONNECT_TIMEOUT_MS.check(connectTimeoutMs);
+        PolicyValue.FIRST_BYTE_TIMEOUT_MS.check(firstByteTimeoutMs);
+        PolicyValue.CHUNK_TIMEOUT_MS.check(chunkTimeoutMs);
+        PolicyValue.CONNECTION_MAX_AGE_MS.check(connectionMaxAgeMs);
+        PolicyValue.FRESH_CONNECTION_MS.check(freshConnectionMs);
+        PolicyValue.MAX_ATTEMPTS.check(maxAttempts);
+        PolicyValue.RETRY_BUDGET_PERCENT.check(retryBudgetPercent);
+        PolicyValue.BACKEND_CONCURRENCY.check(backendConcurrency);
+        PolicyValue.QUEUE_LIMIT.check(queueLimit);
+        PolicyValue.SUSPECT_MS.check(suspectMs);
+        PolicyValue.LEAVING_GRACE_MS.check(leavingGraceMs);
+        PolicyValue.EARLY_SHARE_PERCENT.check(earlySharePercent);
+        PolicyValue.CLAIM_LIFETIME_MS.check(claimLifetimeMs);
+        PolicyValue.WEIGHT.check(weight);
+    }
+
+    /**
+     * Returns a policy in which some values are replaced.
+     *
+     * @param changes the new values by the names that a configuration file uses, see {@link PolicyValue}
+     * @return the policy; this one if there are no changes
+     * @throws IllegalArgumentException if a name is unknown or a value out of its bounds
+     */
+    public Policy with(Map<String, Long> changes) {
+        if (changes.isEmpty()) {
+            return this;
+        }
+        long[] v = new long[PolicyValue.values().length];
+        for (PolicyValue value : PolicyValue.values()) {
+            v[value.ordinal()] = value.of(this);
+        }
+        changes.forEach((key, value) -> v[find(key).ordinal()] = find(key).check(value));
+        return of(v);
+    }
+
+    private static PolicyValue find(String key) {
+        return PolicyValue.find(key).orElseThrow(() -> new IllegalArgumentException("there is no value named " + key));
+    }
+
+    private static Policy of(long[] v) {
+        return new Policy(
+                v[0],
+                v[1],
+                v[2],
+                v[3],
+                v[4],
+                (int) v[5],
+                (int) v[6],
+                (int) v[7],
+                (int) v[8],
+                v[9],
+                v[10],
+                (int) v[11],
+                v[12],
+                (int) v[13]);
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/fuchsiadeck/core/config/PolicyValue.java
@@ -0,0 +1,126 @@
+package org.fuchsiadeck.core.config;
+
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.ToLongFunction;
+import java.util.stream.Stream;
+
+import org.fuchsiadeck.core.model.Checks;
+
+import static java.util.stream.Collectors.toUnmodifiableMap;
+
+/**
+ * The values of a {@link Policy}, in the order of its components, with the names that a configuration file uses, their
+ * units and bounds.
+ */
+public enum PolicyValue {
+    CONNECT_TIMEOUT_MS(Unit.MILLISECONDS, 1, PolicyValue.MAX_MS, Policy::connectTimeoutMs),
+    FIRST_BYTE_TIMEOUT_MS(Unit.MILLISECONDS, 1, PolicyValue.MAX_MS, Policy::firstByteTimeoutMs),
+    CHUNK_TIMEOUT_MS(Unit.MILLISECONDS, 1, PolicyValue.MAX_MS, Policy::chunkTimeoutMs),
+    CONNECTION_MAX_AGE_MS(Unit.MILLISECONDS, 1, PolicyValue.MAX_MS, Policy::connectionMaxAgeMs),
+    FRESH_CONNECTION_MS(Unit.MILLISECONDS, 0, PolicyValue.MAX_MS, Policy::freshConnectionMs),
+    MAX_ATTEMPTS(Unit.COUNT, 1, 10, Policy::maxAttempts),
+    RETRY_BUDGET_PERCENT(Unit.PERCENT, 0, 100, Policy::retryBudgetPercent),
+    BACKEND_CONCURRENCY(Unit.COUNT, 1, 100_000, Policy::backendConcurrency),
+    QUEUE_LIMIT(Unit.COUNT, 0, 1_000_000, Policy::queueLimit),
+    SUSPECT_MS(Unit.MILLISECONDS, 0, PolicyValue.MAX_MS, Policy::suspectMs),
+    LEAVING_GRACE_MS(Unit.MILLISECONDS, 0, PolicyValue.MAX_MS, Policy::leavingGraceMs),
+    EARLY_SHARE_PERCENT(Unit.PERCENT, 0, 100, Policy::earlySharePercent),
+    CLAIM_LIFETIME_MS(Unit.MILLISECONDS, 1_000, PolicyValue.MAX_MS, Policy::claimLifetimeMs),
+    WEIGHT(Unit.COUNT, 1, 10_000, Policy::weight);
+
+    private static final long MAX_MS = 86_400_000;
+    private static final Map<String, PolicyValue> BY_KEY =
+            Stream.of(values()).collect(toUnmodifiableMap(PolicyValue::key, Function.identity()));
+
+    private final Unit unit;
+    private final long min;
+    private final long max;
+    private final ToLongFunction<Policy> getter;
+
+    PolicyValue(Unit unit, long min, long max, ToLongFunction<Policy> getter) {
+        this.unit = unit;
+        this.min = min;
+        this.max = max;
+        this.getter = getter;
+    }
+
+    /**
+     * Finds a value by the name that a configuration file uses.
+     *
+     * @param key the name in snake case
+     * @return the value; empty if there is none of this name
+     */
+    public static Optional<PolicyValue> find(String key) {
+        return Optional.ofNullable(BY_KEY.get(key));
+    }
+
+    /**
+     * Returns the name that a configuration file uses.
+     *
+     * @return the name in snake case
+     */
+    public String key() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    /**
+     * Returns the unit of the value.
+     *
+     * @return the unit
+     */
+    public Unit unit() {
+        return unit;
+    }
+
+    /**
+     * Returns the least value allowed.
+     *
+     * @return the bound, itself allowed
+     */
+    public long min() {
+        return min;
+    }
+
+    /**
+     * Returns the greatest value allowed.
+     *
+     * @return the bound, itself allowed
+     */
+    public long max() {
+        return max;
+    }
+
+    /**
+     * Reads the value.
+     *
+     * @param policy where to read it from
+     * @return the value
+     */
+    public long of(Policy policy) {
+        return getter.applyAsLong(policy);
+    }
+
+    /**
+     * Checks a value against the bounds.
+     *
+     * @param value the value
+     * @return the value
+     * @throws IllegalArgumentException if it is out of bounds
+     */
+    public long check(long value) {
+        return Checks.inRange(value, min, max, key());
+    }
+
+    /** What a value counts. */
+    public enum Unit {
+        /** Milliseconds. */
+        MILLISECONDS,
+        /** Hundredths of a whole. */
+        PERCENT,
+        /** Things. */
+        COUNT
+    }
+}
--- a/core/src/main/java/org/fuchsiadeck/core/config/Route.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/Route.java
@@ -28,8 +28,14 @@
         long deadlineMs,
         long maxBodyBytes,
         int priority) {
-    private static final long MAX_DEADLINE_MS = 3_600_000;
-    private static final long MAX_BODY_BYTES = 64L << 20;
+    /** The longest deadline, in milliseconds. */
+    public static final long MAX_DEADLINE_MS = 3_600_000;
+
+    /** The largest request body, in bytes. */
+    public static final long MAX_BODY_BYTES = 64L << 20;
+
+    /** The highest priority. */
+    public static final int MAX_PRIORITY = 9;
 
     public Route {
         Checks.notBlank(name, "name");
@@ -39,7 +45,7 @@
         Checks.notBlank(path, "path");
         Checks.inRange(deadlineMs, 1, MAX_DEADLINE_MS, "deadline_ms");
         Checks.inRange(maxBodyBytes, 0, MAX_BODY_BYTES, "max_body_bytes");
-        Checks.inRange(priority, 0, 9, "priority");
+        Checks.inRange(priority, 0, MAX_PRIORITY, "priority");
     }
 
     /**
--- a/core/src/main/java/org/fuchsiadeck/core/config/Team.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/Team.java
@@ -12,7 +12,8 @@
  * @param weight the team's part when capacity is short, relative to the other teams
  */
 public record Team(TeamId id, int weight) {
-    private static final int MAX_WEIGHT = 1_000;
+    /** The greatest weight of a team. */
+    public static final int MAX_WEIGHT = 1_000;
 
     public Team {
         requireNonNull(id, "id");
--- a/core/src/main/java/org/fuchsiadeck/core/platform/PlatformEffect.java
+++ b/core/src/main/java/org/fuchsiadeck/core/platform/PlatformEffect.java
@@ -62,4 +62,79 @@
             Checks.notBlank(prefix, "prefix");
         }
     }
+
+    /**
+     * Writes a key that goes when a lease ends, if its revision is the expected one. Answers as {@link Put} does.
+     *
+     * @param tag the tag of the call
+     * @param key the key
+     * @param value the value, as text
+     * @param expectedRevision the revision the key must have; 0 if it must not exist; empty for any
+     * @param lease the id of the lease
+     */
+    record LeasedPut(String tag, String key, String value, OptionalLong expectedRevision, String lease)
+            implements PlatformEffect {
+        public LeasedPut {
+            Checks.notBlank(tag, "tag");
+            Checks.notBlank(key, "key");
+            requireNonNull(value, "value");
+            requireNonNull(expectedRevision, "expectedRevision");
+            Checks.notBlank(lease, "lease");
+        }
+    }
+
+    /**
+     * Deletes a key if its revision is the expected one. Answers as {@link Put} does; a key that does not exist is in
+     * conflict at revision 0.
+     *
+     * @param tag the tag of the call
+     * @param key the key
+     * @param expectedRevision the revision the key must have; empty for any
+     */
+    record Delete(String tag, String key, OptionalLong expectedRevision) implements PlatformEffect {
+        public Delete {
+            Checks.notBlank(tag, "tag");
+            Checks.notBlank(key, "key");
+            requireNonNull(expectedRevision, "expectedRevision");
+        }
+    }
+
+    /**
+     * Reads all keys with a prefix. Answers {@link PlatformEvent.KeysListed}.
+     *
+     * @param tag the tag of the call
+     * @param prefix the prefix of the keys
+     */
+    record ListKeys(String tag, String prefix) implements PlatformEffect {
+        public ListKeys {
+            Checks.notBlank(tag, "tag");
+            Checks.notBlank(prefix, "prefix");
+        }
+    }
+
+    /**
+     * Takes out a lease. Answers {@link PlatformEvent.LeaseGranted}.
+     *
+     * @param tag the tag of the call
+     * @param ttlMs how long the lease lasts without renewal, in milliseconds
+     */
+    record GrantLease(String tag, long ttlMs) implements PlatformEffect {
+        public GrantLease {
+            Checks.notBlank(tag, "tag");
+            Checks.inRange(ttlMs, 1, Long.MAX_VALUE, "ttlMs");
+        }
+    }
+
+    /**
+     * Renews a lease. Answers {@link PlatformEvent.LeaseRenewed}.
+     *
+     * @param tag the tag of the call
+     * @param lease the id of the lease
+     */
+    record RenewLease(String tag, String lease) implements PlatformEffect {
+        public RenewLease {
+            Checks.notBlank(tag, "tag");
+            Checks.notBlank(lease, "lease");
+        }
+    }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/platform/PlatformEvent.java
+++ b/core/src/main/java/org/fuchsiadeck/core/platform/PlatformEvent.java
@@ -96,4 +96,37 @@
      * @param noticeMs the time left, in milliseconds
      */
     record ReclaimNoticed(String instance, long noticeMs) implements PlatformEvent {}
+
+    /**
+     * The keys with a prefix were read.
+     *
+     * @param tag the tag of the call
+     * @param entries the entries in the order of their keys
+     * @param serviceRevision the revision of the whole service at the read
+     */
+    record KeysListed(String tag, List<Entry> entries, long serviceRevision) implements PlatformEvent {
+        public KeysListed {
+            entries = List.copyOf(entries);
+        }
+    }
+
+    /**
+     * A lease was taken out. It may have begun as early as the call was made.
+     *
+     * @param tag the tag of the call
+     * @param lease the id of the lease
+     */
+    record LeaseGranted(String tag, String lease) implements PlatformEvent {
+        public LeaseGranted {
+            Checks.notBlank(lease, "lease");
+        }
+    }
+
+    /**
+     * The service answered to the renewal of a lease.
+     *
+     * @param tag the tag of the call
+     * @param lasts whether the lease still lasted; it has ended otherwise, with its keys
+     */
+    record LeaseRenewed(String tag, boolean lasts) implements PlatformEvent {}
 }
--- /dev/null
+++ b/core/src/test/java/org/fuchsiadeck/core/config/ConfigurationTest.java
@@ -0,0 +1,85 @@
+package org.fuchsiadeck.core.config;
+
+import java.lang.reflect.RecordComponent;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.stream.Stream;
+
+import org.fuchsiadeck.core.model.TeamId;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIllegalArgumentException;
+
+class ConfigurationTest {
+    private static final OptionalLong NEVER = OptionalLong.empty();
+
+    private static Configuration with(ExceptionRule... rules) {
+        return new Configuration(1, Policy.DEFAULT, List.of(rules), List.of(), List.of());
+    }
+
+    private static ExceptionRule rule(String reason, Map<String, String> match, long weight, OptionalLong expires) {
+        return new ExceptionRule(reason, match, Map.of("weight", weight), expires);
+    }
+
+    @Test
+    void namesEveryValueOfAPolicyInOrder() {
+        List<String> components = Stream.of(Policy.class.getRecordComponents())
+                .map(RecordComponent::getName)
+                .map(n -> n.replaceAll("([A-Z])", "_$1").toLowerCase())
+                .toList();
+        assertThat(PolicyValue.values()).extracting(PolicyValue::key).containsExactlyElementsOf(components);
+    }
+
+    @Test
+    void replacesEachValueByItsName() {
+        for (PolicyValue value : PolicyValue.values()) {
+            Policy policy = Policy.DEFAULT.with(Map.of(value.key(), value.max()));
+            for (PolicyValue other : PolicyValue.values()) {
+                long expected = other == value ? value.max() : other.of(Policy.DEFAULT);
+                assertThat(other.of(policy)).isEqualTo(expected);
+            }
+        }
+    }
+
+    @Test
+    void refusesUnknownNamesAndValuesOutOfBounds() {
+        assertThatIllegalArgumentException()
+                .isThrownBy(() -> Policy.DEFAULT.with(Map.of("wait", 1L)))
+                .withMessageContaining("wait");
+        assertThatIllegalArgumentException()
+                .isThrownBy(() -> rule("r", Map.of("zone", "sur"), 0, NEVER))
+                .withMessage("weight must be from 1 to 10000, was 0");
+        assertThatIllegalArgumentException()
+                .isThrownBy(() -> rule("r", Map.of("rack", "sur"), 1, NEVER))
+                .withMessageContaining("rack");
+    }
+
+    @Test
+    void lastMatchingExceptionWins() {
+        Configuration c = with(
+                rule("a", Map.of("zone", "sur"), 1, NEVER),
+                rule("b", Map.of("team", "crews", "zone", "sur"), 2, NEVER),
+                rule("c", Map.of("zone", "norte"), 3, NEVER));
+        Subject sur = new Subject("sur", "", "", "", "", "");
+        assertThat(c.policyFor(Subject.NONE, 0).weight()).isEqualTo(100);
+        assertThat(c.policyFor(sur, 0).weight()).isEqualTo(1);
+        assertThat(c.policyFor(sur.forTeam(new TeamId("crews")), 0).weight()).isEqualTo(2);
+    }
+
+    @Test
+    void explainsWhichExceptionGivesAValue() {
+        Configuration c = with(
+                rule("a", Map.of("zone", "sur"), 1, NEVER),
+                rule("b", Map.of("zone", "sur"), 2, OptionalLong.of(10)),
+                rule("c", Map.of("zone", "sur"), 3, OptionalLong.of(11)));
+        Subject sur = new Subject("sur", "", "", "", "", "");
+        List<Explanation> all = c.explain(sur, 10);
+        assertThat(all).hasSize(PolicyValue.values().length);
+        assertThat(all.get(PolicyValue.WEIGHT.ordinal()))
+                .isEqualTo(new Explanation(PolicyValue.WEIGHT, 3, OptionalInt.of(3), "c", List.of(1), List.of(2)));
+        assertThat(all.get(0).exception()).isEmpty();
+    }
+}
