--- a/node/src/main/java/org/fuchsiadeck/node/rollout/EvidenceProtos.java
+++ b/node/src/main/java/org/fuchsiadeck/node/rollout/EvidenceProtos.java
@@ -17,9 +17,7 @@
     private EvidenceProtos() {}
 
     static List<ProtoCell> write(Evidence evidence) {
-        return evidence.cells()
-                .map(entry -> write(entry._1, entry._2))
-                .toJavaList();
+        return evidence.cells().map(entry -> write(entry._1, entry._2)).toJavaList();
     }
 
     static Evidence read(List<ProtoCell> cells) {
--- a/scenarios/src/test/java/org/fuchsiadeck/scenarios/Caller.java
+++ b/scenarios/src/test/java/org/fuchsiadeck/scenarios/Caller.java
@@ -18,8 +18,10 @@
 final class Caller {
     private static final Duration LIMIT = Duration.ofSeconds(30);
 
-    private final HttpClient http =
-            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(LIMIT).build();
+    private final HttpClient http = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(LIMIT)
+            .build();
     private final String base;
     private final String team;
 
