--- /dev/null
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Answers.java
@@ -0,0 +1,112 @@
+package org.fuchsiadeck.core.request;
+
+import org.fuchsiadeck.core.EventCode;
+import org.fuchsiadeck.core.model.RequestId;
+
+/**
+ * Takes what the data path reports of the attempt a request waits for.
+ */
+final class Answers {
+    private static final int FIRST_ERROR_STATUS = 400;
+
+    private Answers() {}
+
+    static void writing(Turn turn, Exchange exchange, RequestEvent.Writing event) {
+        if (!current(exchange, event.attempt())) {
+            return;
+        }
+        Attempt attempt = exchange.attempt().get();
+        if (exchange.stage() == Stage.CONNECTING) {
+            long due = turn.nowMs() + Watchdog.firstByteMs(turn, exchange);
+            Watchdog.rearm(turn, exchange.at(Stage.AWAITING, attempt.markWritten(turn.nowMs(), due)));
+            return;
+        }
+        turn.keep(exchange.at(exchange.stage(), attempt.markWritten(turn.nowMs(), attempt.dueMs())));
+    }
+
+    static void started(Turn turn, Exchange exchange, RequestEvent.AnswerStarted event) {
+        if (!current(exchange, event.attempt())) {
+            stale(turn, event.id(), event.attempt());
+            return;
+        }
+        Attempt attempt = exchange.attempt().get();
+        event.report().ifPresent(r -> Attempts.reported(turn, attempt.backend(), r));
+        Attempts.answering(turn, attempt.backend());
+        if (exchange.stage() == Stage.STREAMING) {
+            return;
+        }
+        if (exchange.stage() == Stage.CANCELLING) {
+            turn.keep(exchange.at(Stage.CANCELLING, attempt.answered(turn.nowMs(), attempt.dueMs())));
+            return;
+        }
+        long due = exchange.tokenStream() ? turn.nowMs() + turn.policy().chunkTimeoutMs() : exchange.deadlineMs();
+        Exchange next = exchange.at(Stage.STREAMING, attempt.answered(turn.nowMs(), due));
+        if (exchange.call().stream()) {
+            turn.effect(new RequestEffect.Relay(event.id(), event.attempt()));
+            next = next.with(next.history().relayed(attempt.backend()));
+        }
+        Watchdog.rearm(turn, next);
+    }
+
+    static void progressed(Turn turn, Exchange exchange, RequestEvent.Progressed event) {
+        if (!current(exchange, event.attempt()) || exchange.stage() != Stage.STREAMING) {
+            return;
+        }
+        long due = turn.nowMs() + turn.policy().chunkTimeoutMs();
+        Attempt attempt = exchange.attempt().get().progressed(event.delivered(), turn.nowMs(), due);
+        turn.keep(exchange.at(Stage.STREAMING, attempt).with(exchange.history().progressed(event.delivered())));
+    }
+
+    static void completed(Turn turn, Exchange exchange, RequestEvent.AnswerCompleted event) {
+        if (!current(exchange, event.attempt())) {
+            stale(turn, event.id(), event.attempt());
+            return;
+        }
+        Attempt attempt = exchange.attempt().get();
+        event.report().ifPresent(r -> Attempts.reported(turn, attempt.backend(), r));
+        Exchange last = exchange.at(Stage.STREAMING, finished(turn, exchange, event));
+        Attempts.good(turn, last);
+        turn.count(c -> c.recomputed(attempt.cause(), event.recomputed()));
+        if (!exchange.callerGone()) {
+            passOn(turn, exchange, event);
+        }
+        Ending.answered(turn, last.idle());
+    }
+
+    static void failed(Turn turn, Exchange exchange, RequestEvent.AttemptFailed event) {
+        if (!current(exchange, event.attempt())) {
+            return;
+        }
+        Attempt attempt = exchange.attempt().get();
+        event.report().ifPresent(r -> Attempts.reported(turn, attempt.backend(), r));
+        Retries.failed(turn, exchange, event.failure());
+    }
+
+    /** Counts an answer that belongs to no request in progress. */
+    static void stale(Turn turn, RequestId id, int attempt) {
+        turn.count(Counters::staleOne);
+        turn.log(EventCode.STALE_ANSWER, id + " attempt " + attempt);
+    }
+
+    private static Attempt finished(Turn turn, Exchange exchange, RequestEvent.AnswerCompleted event) {
+        Attempt attempt = exchange.attempt().get();
+        return event.delivered() > 0
+                ? attempt.progressed(event.delivered(), turn.nowMs(), attempt.dueMs())
+                : attempt.answered(turn.nowMs(), attempt.dueMs());
+    }
+
+    private static void passOn(Turn turn, Exchange exchange, RequestEvent.AnswerCompleted event) {
+        boolean stream = exchange.call().stream();
+        boolean relayed = stream && exchange.stage() == Stage.STREAMING;
+        if (!relayed) {
+            turn.effect(new RequestEffect.Relay(event.id(), event.attempt()));
+        }
+        if (stream && (relayed || event.status() < FIRST_ERROR_STATUS)) {
+            turn.effect(new RequestEffect.EndStream(event.id()));
+        }
+    }
+
+    private static boolean current(Exchange exchange, int attempt) {
+        return exchange.attempt().exists(a -> a.number() == attempt);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Dispatcher.java
@@ -0,0 +1,94 @@
+package org.fuchsiadeck.core.request;
+
+import java.util.List;
+import java.util.Optional;
+
+import org.fuchsiadeck.core.limit.ServiceLoad;
+import org.fuchsiadeck.core.model.Backend;
+import org.fuchsiadeck.core.request.RequestEvent.Timer;
+import org.fuchsiadeck.core.request.RequestEvent.TimerFired;
+import org.fuchsiadeck.core.routing.Choice;
+import org.fuchsiadeck.core.routing.Placement;
+import org.fuchsiadeck.core.routing.Placement.Availability;
+import org.fuchsiadeck.core.routing.Placement.Found;
+import org.fuchsiadeck.core.routing.Query;
+import org.fuchsiadeck.core.routing.Server;
+
+/**
+ * Finds a backend server for a request and sends the request there.
+ */
+final class Dispatcher {
+    private static final long MIN_RETRY_AFTER_MS = 1_000;
+
+    private Dispatcher() {}
+
+    static Found find(Turn turn, Exchange exchange) {
+        turn.fleet(
+                f -> f.pooled(exchange.need(), turn.view().self(), turn.view().peers()));
+        long seed = turn.draw();
+        Query query = new Query(
+                turn.nowMs(),
+                turn.view().self().zone(),
+                prefix(exchange),
+                turn.state().fleet().sent(),
+                seed,
+                turn.state().counters().dispatched());
+        int max = turn.policy().backendConcurrency();
+        return new Placement(turn.state().fleet(), turn.view().shares(), turn.router(), max)
+                .find(exchange.wanted(), query);
+    }
+
+    /** Tells why a fresh request must be refused, if it must. */
+    static Optional<Refusal> refusal(Turn turn, Availability availability) {
+        return switch (availability) {
+            case NONE -> Optional.of(new Refusal("no_backend", turn.spread(MIN_RETRY_AFTER_MS)));
+            case SUSPECTED -> Optional.of(new Refusal("backends_suspected", turn.spread(suspectMs(turn))));
+            default -> Optional.empty();
+        };
+    }
+
+    static void dispatch(Turn turn, Exchange exchange, Choice choice, Cause cause) {
+        dispatch(turn, exchange, choice, cause, Optional.empty());
+    }
+
+    static void dispatch(Turn turn, Exchange exchange, Choice choice, Cause cause, Optional<Backend> importFrom) {
+        Server server = choice.server();
+        Backend backend = server.backend();
+        int number = exchange.history().attempts() + 1;
+        long now = turn.nowMs();
+        long due = now + turn.policy().connectTimeoutMs();
+        int tokens = exchange.history().delivered();
+        Attempt attempt = Attempt.dispatched(number, server, cause, now, tokens, due);
+        turn.keep(exchange.dispatched(attempt));
+        turn.fleet(f -> f.with(backend.id(), s -> s.attempts(1).with(s.health().dispatched(now)))
+                .sent(prefix(exchange), backend.id()));
+        turn.load(exchange.route().service(), ServiceLoad::dispatched);
+        turn.count(c -> c.dispatchedOne(cause));
+        turn.decide(exchange.id(), Decision.Kind.DISPATCHED, Optional.of(backend), cause + " " + choice.reason());
+        long left = Math.max(1, exchange.deadlineMs() - now);
+        turn.effect(new RequestEffect.Dispatch(
+                exchange.id(), number, backend, freshMs(turn, exchange, server), left, importFrom));
+        turn.schedule(due, new TimerFired(exchange.id(), Timer.CONNECT, number));
+    }
+
+    /** A connection kept to a server at which one has just failed may be silently dead as well. */
+    private static long freshMs(Turn turn, Exchange exchange, Server server) {
+        if (!server.health().clean()) {
+            return 0;
+        }
+        return exchange.idempotent()
+                ? turn.policy().connectionMaxAgeMs()
+                : turn.policy().freshConnectionMs();
+    }
+
+    private static long suspectMs(Turn turn) {
+        return Math.max(MIN_RETRY_AFTER_MS, turn.policy().suspectMs());
+    }
+
+    private static List<Long> prefix(Exchange exchange) {
+        return exchange.call()
+                .completion()
+                .map(CallerRequest.Completion::prefix)
+                .orElse(List.of());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Ending.java
@@ -0,0 +1,98 @@
+package org.fuchsiadeck.core.request;
+
+import java.util.Optional;
+
+import org.fuchsiadeck.core.EventCode;
+import org.fuchsiadeck.core.claim.ClaimEvent;
+import org.fuchsiadeck.core.claim.ClaimEvent.Settlement;
+import org.fuchsiadeck.core.model.RequestId;
+import org.fuchsiadeck.core.request.RequestEffect.Outcome;
+
+/**
+ * Gives a request its final answer, settles its claim and forgets it. Each request comes here exactly once.
+ */
+final class Ending {
+    private static final int CONFLICT = 409;
+    private static final int BAD_GATEWAY = 502;
+    private static final int GATEWAY_TIMEOUT = 504;
+    private static final long RETRY_AFTER_MS = 1_000;
+    private static final String NOT_RUN_DETAIL = "The request was not run.";
+
+    private Ending() {}
+
+    static void answered(Turn turn, Exchange exchange) {
+        turn.count(Counters::answeredOne);
+        close(turn, exchange, Settlement.ANSWERED);
+    }
+
+    /** Refuses a request of which it is proved that it was not run. */
+    static void refuse(Turn turn, Exchange exchange, Refusal refusal) {
+        if (exchange.mayHaveRun()) {
+            throw new IllegalStateException(exchange.id() + " may have run and cannot be refused as not run");
+        }
+        if (!exchange.callerGone()) {
+            refuseUnkept(turn, exchange.id(), refusal);
+        }
+        close(turn, exchange, Settlement.NOT_RUN);
+    }
+
+    /** Refuses a request that belongs to no route. */
+    static void refuseUnknown(Turn turn, RequestId id, Refusal refusal) {
+        refuseUnkept(turn, id, refusal);
+        turn.effect(new RequestEffect.Release(id));
+    }
+
+    static void duplicate(Turn turn, Exchange exchange, RequestEvent.Denial denial) {
+        String reason = denial == RequestEvent.Denial.IN_PROGRESS ? "in_progress" : "already_answered";
+        String detail = "An earlier request has the same idempotency key.";
+        turn.effect(new RequestEffect.Respond(exchange.id(), Outcome.DUPLICATE, CONFLICT, 0, reason, detail));
+        turn.decide(exchange.id(), Decision.Kind.DUPLICATE, Optional.empty(), reason);
+        turn.count(Counters::duplicateOne);
+        close(turn, exchange, Settlement.NOT_RUN);
+    }
+
+    static void earlierUnknown(Turn turn, Exchange exchange) {
+        String detail = "An earlier request with the same idempotency key may have run.";
+        unknown(turn, exchange, CONFLICT, new EndReason("earlier_outcome_unknown", false, detail));
+    }
+
+    /** Ends a request that failed, as truthfully as can be: not run only if that is proved. */
+    static void fail(Turn turn, Exchange exchange, EndReason why) {
+        if (exchange.mayHaveRun()) {
+            unknown(turn, exchange, why.timeout() ? GATEWAY_TIMEOUT : BAD_GATEWAY, why);
+            return;
+        }
+        refuse(turn, exchange, new Refusal(why.reason(), turn.spread(RETRY_AFTER_MS)));
+    }
+
+    /** Ends a request whose caller has left and which needs no answer. */
+    static void abandoned(Turn turn, Exchange exchange) {
+        close(turn, exchange, exchange.mayHaveRun() ? Settlement.UNKNOWN : Settlement.NOT_RUN);
+    }
+
+    private static void unknown(Turn turn, Exchange exchange, int status, EndReason why) {
+        if (!exchange.callerGone()) {
+            turn.effect(
+                    new RequestEffect.Respond(exchange.id(), Outcome.UNKNOWN, status, 0, why.reason(), why.detail()));
+        }
+        turn.log(EventCode.REQUEST_OUTCOME_UNKNOWN, exchange.id() + " " + why.reason() + ": " + why.detail());
+        turn.decide(exchange.id(), Decision.Kind.UNKNOWN, Optional.empty(), why.reason());
+        turn.count(c -> c.unknownOne(why.reason()));
+        close(turn, exchange, Settlement.UNKNOWN);
+    }
+
+    private static void refuseUnkept(Turn turn, RequestId id, Refusal refusal) {
+        turn.effect(new RequestEffect.Respond(
+                id, Outcome.NOT_RUN, refusal.status(), refusal.retryAfterMs(), refusal.reason(), NOT_RUN_DETAIL));
+        turn.log(EventCode.REQUEST_REFUSED, id + " " + refusal.reason());
+        turn.decide(id, Decision.Kind.REFUSED, Optional.empty(), refusal.reason());
+        turn.count(c -> c.refusedOne(refusal.reason()));
+    }
+
+    private static void close(Turn turn, Exchange exchange, Settlement settlement) {
+        Waiting.leave(turn, exchange);
+        turn.forget(exchange.id());
+        turn.effect(new RequestEffect.Release(exchange.id()));
+        exchange.claim().forEach(key -> turn.raise(new ClaimEvent.Settled(exchange.id(), key, settlement)));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiadeck/core/request/History.java
@@ -0,0 +1,67 @@
+package org.fuchsiadeck.core.request;
+
+import io.vavr.collection.HashSet;
+import io.vavr.collection.Set;
+import io.vavr.control.Option;
+import org.fuchsiadeck.core.model.Backend;
+import org.fuchsiadeck.core.model.BackendId;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * What has come of a request so far.
+ *
+ * @param attempts dispatches so far
+ * @param failures failed attempts since the last token passed on
+ * @param exposed whether an attempt that ended may have run
+ * @param delivered tokens passed on to the caller
+ * @param version the version whose answer was begun to be passed on; the rest must come from the same
+ * @param failedAt servers at which an attempt failed
+ * @param next why the next dispatch is made
+ */
+public record History(
+        int attempts,
+        int failures,
+        boolean exposed,
+        int delivered,
+        Option<String> version,
+        Set<BackendId> failedAt,
+        Cause next) {
+    /** Nothing has come yet. */
+    public static final History NONE = new History(0, 0, false, 0, Option.none(), HashSet.empty(), Cause.FRESH);
+
+    public History {
+        requireNonNull(version, "version");
+        requireNonNull(failedAt, "failedAt");
+        requireNonNull(next, "next");
+    }
+
+    /**
+     * Tells whether an answer has begun to be passed on.
+     *
+     * @return whether the caller has part of an answer
+     */
+    public boolean begun() {
+        return version.isDefined();
+    }
+
+    History dispatched() {
+        return new History(attempts + 1, failures, exposed, delivered, version, failedAt, next);
+    }
+
+    History relayed(Backend backend) {
+        return new History(attempts, failures, exposed, delivered, Option.some(backend.version()), failedAt, next);
+    }
+
+    History progressed(int tokens) {
+        return tokens <= delivered ? this : new History(attempts, 0, exposed, tokens, version, HashSet.empty(), next);
+    }
+
+    History failed(BackendId at, boolean mayHaveRun, Cause then) {
+        return new History(attempts, failures + 1, exposed || mayHaveRun, delivered, version, failedAt.add(at), then);
+    }
+
+    History moved(boolean mayHaveRun, Cause then) {
+        return new History(attempts, failures, exposed || mayHaveRun, delivered, version, failedAt, then);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiadeck/core/request/NodeWorkEvent.java
@@ -0,0 +1,22 @@
+package org.fuchsiadeck.core.request;
+
+import org.fuchsiadeck.core.Event;
+import org.fuchsiadeck.core.model.BackendId;
+
+/**
+ * Times and turns of the requests as a whole, which the reducer sets for itself.
+ */
+public sealed interface NodeWorkEvent extends Event {
+    /**
+     * A suspected backend server may be tried again.
+     *
+     * @param backend the server
+     */
+    record TrialDue(BackendId backend) implements NodeWorkEvent {}
+
+    /** The time of a graceful shutdown is nearly over. */
+    record DrainDue() implements NodeWorkEvent {}
+
+    /** The last request of a graceful shutdown has ended. */
+    record Drained() implements NodeWorkEvent {}
+}
--- a/core/src/main/java/org/fuchsiadeck/core/request/RequestEffect.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/RequestEffect.java
@@ -1,5 +1,7 @@
 package org.fuchsiadeck.core.request;
 
+import java.util.Optional;
+
 import org.fuchsiadeck.core.Effect;
 import org.fuchsiadeck.core.model.Backend;
 import org.fuchsiadeck.core.model.RequestId;
@@ -19,11 +21,29 @@
      * @param freshMs a kept connection may be used only if it answered within this time, in milliseconds; 0 for a new
      *     connection
      * @param deadlineMs the time left for the request, in milliseconds, passed on to the server
+     * @param importFrom the server whose KV cache of the stream is taken over. The earlier attempt there was not
+     *     cancelled: the data path ends it by the export, and goes on from its journal if the export fails. Empty to
+     *     compute the prompt and the journal again.
      */
-    record Dispatch(RequestId id, int attempt, Backend backend, long freshMs, long deadlineMs)
+    record Dispatch(
+            RequestId id, int attempt, Backend backend, long freshMs, long deadlineMs, Optional<Backend> importFrom)
             implements RequestEffect {
         public Dispatch {
             requireNonNull(backend, "backend");
+            requireNonNull(importFrom, "importFrom");
+        }
+
+        /**
+         * Makes a dispatch without an import.
+         *
+         * @param id the request
+         * @param attempt the attempt, from 1
+         * @param backend the server
+         * @param freshMs as above
+         * @param deadlineMs as above
+         */
+        public Dispatch(RequestId id, int attempt, Backend backend, long freshMs, long deadlineMs) {
+            this(id, attempt, backend, freshMs, deadlineMs, Optional.empty());
         }
     }
 
--- a/core/src/main/java/org/fuchsiadeck/core/request/RequestEvent.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/RequestEvent.java
@@ -141,6 +141,8 @@
         /** The longest silence in a stream. */
         CHUNK,
         /** The end of a queued request's wait. */
-        QUEUE
+        QUEUE,
+        /** The time at which an attempt at a leaving backend server is looked at again. */
+        LEAVING
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/request/RequestReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/RequestReducer.java
@@ -1,107 +1,139 @@
 package org.fuchsiadeck.core.request;
 
-import java.util.Optional;
+import java.util.List;
 
-import io.vavr.collection.TreeMap;
-import org.fuchsiadeck.core.Effect;
+import io.vavr.control.Option;
 import org.fuchsiadeck.core.Event;
 import org.fuchsiadeck.core.EventCode;
+import org.fuchsiadeck.core.Lifecycle;
 import org.fuchsiadeck.core.Reducer;
 import org.fuchsiadeck.core.Step;
 import org.fuchsiadeck.core.View;
-import org.fuchsiadeck.core.config.Route;
 import org.fuchsiadeck.core.model.Backend;
 import org.fuchsiadeck.core.model.BackendId;
 import org.fuchsiadeck.core.platform.PlatformEvent;
+import org.fuchsiadeck.core.routing.Router;
+import org.fuchsiadeck.core.routing.Server;
+
+import static java.util.Objects.requireNonNull;
 
 /**
- * Takes each request to the first backend server of its service, and its answer back.
+ * Takes each request to a backend server that can serve it, and gives each caller one final answer.
  */
 public final class RequestReducer implements Reducer<RequestState> {
-    private static final int NOT_FOUND = 404;
-    private static final int BAD_GATEWAY = 502;
-    private static final int UNAVAILABLE = 503;
-    private static final long RETRY_AFTER_MS = 1_000;
+    private final Router router;
+
+    /** Makes a reducer with the router in normal use. */
+    public RequestReducer() {
+        this(Router.betterOfTwo());
+    }
+
+    /**
+     * Makes a reducer with another router, to measure against.
+     *
+     * @param router chooses the backend servers
+     */
+    public RequestReducer(Router router) {
+        this.router = requireNonNull(router, "router");
+    }
 
     @Override
     public Step<RequestState> reduce(RequestState state, View view, Event event) {
-        if (event instanceof PlatformEvent.Listed listed) {
-            return listed(state, listed);
+        Turn turn = new Turn(state, view, router);
+        if (event instanceof RequestEvent request) {
+            request(turn, request);
+        } else if (event instanceof PlatformEvent.Listed listed) {
+            listed(turn, listed.backends());
+        } else if (event instanceof PlatformEvent.ReclaimNoticed notice) {
+            noticed(turn, notice);
+        } else if (event instanceof Lifecycle.StopRequested stop) {
+            Draining.requested(turn, stop.noticeMs());
+        } else if (event instanceof NodeWorkEvent work) {
+            work(turn, work);
+        } else {
+            return Step.of(state);
         }
+        turn.takeLeaving().forEach(id -> Departures.look(turn, id));
+        turn.takeFreed().forEach(service -> Waiting.serve(turn, service));
+        Draining.check(turn);
+        return turn.step();
+    }
+
+    private static void request(Turn turn, RequestEvent event) {
         if (event instanceof RequestEvent.Arrived arrived) {
-            return arrived(state, view, arrived);
+            Arrivals.arrived(turn, arrived);
+            return;
         }
-        if (event instanceof RequestEvent request && state.streams().containsKey(request.id())) {
-            return progressed(state, request);
+        Option<Exchange> open = turn.find(event.id());
+        if (open.isDefined()) {
+            inProgress(turn, open.get(), event);
+        } else if (event instanceof RequestEvent.AnswerStarted started) {
+            Answers.stale(turn, started.id(), started.attempt());
+        } else if (event instanceof RequestEvent.AnswerCompleted completed) {
+            Answers.stale(turn, completed.id(), completed.attempt());
         }
-        return Step.of(state);
     }
 
-    private static Step<RequestState> listed(RequestState state, PlatformEvent.Listed listed) {
-        TreeMap<BackendId, Backend> backends = TreeMap.empty();
-        for (Backend backend : listed.backends()) {
-            backends = backends.put(backend.id(), backend);
+    private static void inProgress(Turn turn, Exchange exchange, RequestEvent event) {
+        if (event instanceof RequestEvent.Progressed progressed) {
+            Answers.progressed(turn, exchange, progressed);
+        } else if (event instanceof RequestEvent.Writing writing) {
+            Answers.writing(turn, exchange, writing);
+        } else if (event instanceof RequestEvent.AnswerStarted started) {
+            Answers.started(turn, exchange, started);
+        } else if (event instanceof RequestEvent.AnswerCompleted completed) {
+            Answers.completed(turn, exchange, completed);
+        } else if (event instanceof RequestEvent.AttemptFailed failed) {
+            Answers.failed(turn, exchange, failed);
+        } else if (event instanceof RequestEvent.TimerFired fired) {
+            Watchdog.fired(turn, exchange, fired);
+        } else if (event instanceof RequestEvent.CallerGone) {
+            Callers.gone(turn, exchange);
+        } else if (event instanceof RequestEvent.ClaimGranted) {
+            Arrivals.granted(turn, exchange);
+        } else if (event instanceof RequestEvent.ClaimDenied denied) {
+            Arrivals.denied(turn, exchange, denied.denial());
         }
-        return Step.of(new RequestState(backends, state.streams()));
     }
 
-    private static Step<RequestState> arrived(RequestState state, View view, RequestEvent.Arrived arrived) {
-        CallerRequest call = arrived.call();
-        Optional<Route> route = view.config().route(call.method(), call.path());
-        if (route.isEmpty()) {
-            return refuse(state, arrived, NOT_FOUND, "unknown_route");
-        }
-        Optional<Backend> backend = state.backends()
-                .values()
-                .find(b -> b.service().equals(route.get().service()) && !b.leaving())
-                .toJavaOptional();
-        if (backend.isEmpty()) {
-            return refuse(state, arrived, UNAVAILABLE, "no_backend");
+    private static void listed(Turn turn, List<Backend> backends) {
+        for (Backend backend : backends) {
+            if (backend.leaving() && !Attempts.leaves(turn, backend)) {
+                turn.log(EventCode.BACKEND_LEAVING, backend.id() + " by the list");
+                turn.leaving(backend.id());
+            }
         }
-        return Step.of(
-                new RequestState(state.backends(), state.streams().put(arrived.id(), call.stream())),
-                new RequestEffect.Dispatch(
-                        arrived.id(), 1, backend.get(), 0, route.get().deadlineMs()));
+        int max = turn.policy().backendConcurrency();
+        turn.fleet(f -> f.listed(backends, turn.nowMs(), max));
+        turn.state().queues().keySet().forEach(turn::freed);
     }
 
-    private static Step<RequestState> progressed(RequestState state, RequestEvent event) {
-        boolean stream = state.streams().get(event.id()).get();
-        RequestState done = new RequestState(state.backends(), state.streams().remove(event.id()));
-        if (event instanceof RequestEvent.AnswerStarted started && stream) {
-            return Step.of(state, new RequestEffect.Relay(event.id(), started.attempt()));
+    private static void noticed(Turn turn, PlatformEvent.ReclaimNoticed notice) {
+        if (notice.instance().equals(turn.view().self().id().value())) {
+            if (turn.state().drain().isEmpty()) {
+                turn.raise(new Lifecycle.StopRequested(notice.noticeMs()));
+            }
+            return;
         }
-        if (event instanceof RequestEvent.AnswerCompleted completed) {
-            Effect answer = stream
-                    ? new RequestEffect.EndStream(event.id())
-                    : new RequestEffect.Relay(event.id(), completed.attempt());
-            return Step.of(done, answer, new RequestEffect.Release(event.id()));
+        BackendId id = new BackendId(notice.instance());
+        if (turn.state().fleet().departure(id).filter(d -> d.noticed()).isPresent()) {
+            return;
         }
-        if (event instanceof RequestEvent.AttemptFailed failed) {
-            Effect answer = new RequestEffect.Respond(
-                    event.id(),
-                    RequestEffect.Outcome.UNKNOWN,
-                    BAD_GATEWAY,
-                    0,
-                    "backend_failed",
-                    failed.failure().detail());
-            return Step.of(done, answer, new RequestEffect.Release(event.id()));
+        turn.fleet(f -> f.noticed(id, turn.nowMs(), notice.noticeMs()));
+        if (turn.state().fleet().servers().containsKey(id)) {
+            turn.log(EventCode.BACKEND_LEAVING, id + " by a notice of " + notice.noticeMs() + " ms");
+            turn.leaving(id);
         }
-        if (event instanceof RequestEvent.CallerGone) {
-            return Step.of(done, new RequestEffect.Cancel(event.id(), 1), new RequestEffect.Release(event.id()));
-        }
-        return Step.of(state);
     }
 
-    private static Step<RequestState> refuse(
-            RequestState state, RequestEvent.Arrived arrived, int status, String reason) {
-        Effect answer = new RequestEffect.Respond(
-                arrived.id(),
-                RequestEffect.Outcome.NOT_RUN,
-                status,
-                RETRY_AFTER_MS,
-                reason,
-                "The request was not run.");
-        Effect log = new Effect.Log(EventCode.REQUEST_REFUSED, arrived.id() + " " + reason);
-        return Step.of(state, answer, log, new RequestEffect.Release(arrived.id()));
+    private static void work(Turn turn, NodeWorkEvent event) {
+        if (event instanceof NodeWorkEvent.DrainDue) {
+            Draining.due(turn);
+        } else if (event instanceof NodeWorkEvent.Drained) {
+            Draining.over(turn);
+        } else if (event instanceof NodeWorkEvent.TrialDue due) {
+            Option<Server> server = turn.state().fleet().servers().get(due.backend());
+            server.forEach(s -> turn.freed(s.backend().service()));
+        }
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/request/RequestState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/RequestState.java
@@ -2,24 +2,110 @@
 
 import io.vavr.collection.HashMap;
 import io.vavr.collection.Map;
-import io.vavr.collection.TreeMap;
+import io.vavr.collection.Queue;
+import io.vavr.control.Option;
+import org.fuchsiadeck.core.limit.FairQueue;
+import org.fuchsiadeck.core.limit.RetryBudget;
+import org.fuchsiadeck.core.limit.ServiceLoad;
 import org.fuchsiadeck.core.model.Backend;
 import org.fuchsiadeck.core.model.BackendId;
 import org.fuchsiadeck.core.model.RequestId;
+import org.fuchsiadeck.core.routing.Fleet;
+
+import static java.util.Objects.requireNonNull;
 
 /**
- * The callers' requests in progress and the backend servers known.
+ * The callers' requests in progress and what is known of the backend servers.
  *
- * @param backends the backend servers, by id
- * @param streams for each request in progress, whether its answer is streamed
+ * @param fleet the backend servers
+ * @param open the requests in progress
+ * @param queues for each service, the requests that wait
+ * @param loads for each service, the attempts in progress
+ * @param budget the retries left
+ * @param draws random numbers drawn so far
+ * @param drain the graceful shutdown, if one is under way
+ * @param decisions the last decisions, the oldest first
+ * @param counters what has been counted
  */
-public record RequestState(Map<BackendId, Backend> backends, Map<RequestId, Boolean> streams) {
+public record RequestState(
+        Fleet fleet,
+        Map<RequestId, Exchange> open,
+        Map<String, FairQueue> queues,
+        Map<String, ServiceLoad> loads,
+        RetryBudget budget,
+        long draws,
+        Option<Drain> drain,
+        Queue<Decision> decisions,
+        Counters counters) {
+    public RequestState {
+        requireNonNull(fleet, "fleet");
+        requireNonNull(budget, "budget");
+        requireNonNull(drain, "drain");
+        requireNonNull(counters, "counters");
+    }
+
     /**
      * Returns the state of a node that has just started.
      *
      * @return the state
      */
     public static RequestState initial() {
-        return new RequestState(TreeMap.empty(), HashMap.empty());
+        return new RequestState(
+                Fleet.EMPTY,
+                HashMap.empty(),
+                HashMap.empty(),
+                HashMap.empty(),
+                RetryBudget.initial(),
+                0,
+                Option.none(),
+                Queue.empty(),
+                Counters.ZERO);
+    }
+
+    /**
+     * Returns the backend servers known.
+     *
+     * @return the servers by id
+     */
+    public Map<BackendId, Backend> backends() {
+        return fleet.servers().mapValues(s -> s.backend());
+    }
+
+    RequestState with(Fleet next) {
+        return new RequestState(next, open, queues, loads, budget, draws, drain, decisions, counters);
+    }
+
+    RequestState withOpen(Map<RequestId, Exchange> next) {
+        return new RequestState(fleet, next, queues, loads, budget, draws, drain, decisions, counters);
+    }
+
+    RequestState withQueue(String service, FairQueue next) {
+        Map<String, FairQueue> all = next.size() == 0 ? queues.remove(service) : queues.put(service, next);
+        return new RequestState(fleet, open, all, loads, budget, draws, drain, decisions, counters);
+    }
+
+    RequestState withLoad(String service, ServiceLoad next) {
+        return new RequestState(
+                fleet, open, queues, loads.put(service, next), budget, draws, drain, decisions, counters);
+    }
+
+    RequestState with(RetryBudget next) {
+        return new RequestState(fleet, open, queues, loads, next, draws, drain, decisions, counters);
+    }
+
+    RequestState drawn() {
+        return new RequestState(fleet, open, queues, loads, budget, draws + 1, drain, decisions, counters);
+    }
+
+    RequestState with(Drain next) {
+        return new RequestState(fleet, open, queues, loads, budget, draws, Option.some(next), decisions, counters);
+    }
+
+    RequestState withDecisions(Queue<Decision> next) {
+        return new RequestState(fleet, open, queues, loads, budget, draws, drain, next, counters);
+    }
+
+    RequestState with(Counters next) {
+        return new RequestState(fleet, open, queues, loads, budget, draws, drain, decisions, next);
     }
 }
--- /dev/null
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Retries.java
@@ -0,0 +1,69 @@
+package org.fuchsiadeck.core.request;
+
+import org.fuchsiadeck.core.EventCode;
+import org.fuchsiadeck.core.limit.RetryBudget;
+import org.fuchsiadeck.core.routing.Placement.Availability;
+import org.fuchsiadeck.core.routing.Placement.Found;
+
+/**
+ * Decides what follows an attempt that ended without a whole answer.
+ */
+final class Retries {
+    private Retries() {}
+
+    static void failed(Turn turn, Exchange exchange, Failure failure) {
+        Attempt attempt = exchange.attempt().get();
+        RetryRule rule = RetryRule.of(Extent.of(attempt, failure));
+        boolean begun = exchange.history().begun();
+        if (exchange.callerGone() && exchange.stage() == Stage.CANCELLING) {
+            Attempts.dropped(turn, exchange);
+        } else {
+            Attempts.failed(turn, exchange, failure);
+        }
+        History history = exchange.history()
+                .failed(attempt.backend().id(), rule.mayHaveRun(), begun ? Cause.RESUME : Cause.RETRY);
+        Exchange next = turn.keep(exchange.idle().with(history));
+        EndReason why = EndReason.of(failure);
+        if (next.callerGone()) {
+            Ending.abandoned(turn, next);
+            return;
+        }
+        if (!rule.retries(next.idempotent()) || !worthwhile(turn, next)) {
+            Ending.fail(turn, next, why);
+            return;
+        }
+        if (!begun && !turn.state().budget().allows()) {
+            Ending.fail(turn, next, EndReason.RETRY_BUDGET);
+            return;
+        }
+        again(turn, next, why);
+    }
+
+    private static boolean worthwhile(Turn turn, Exchange exchange) {
+        History history = exchange.history();
+        boolean resumable = !history.begun() || exchange.tokenStream();
+        return resumable && history.failures() < turn.policy().maxAttempts() && turn.nowMs() < exchange.deadlineMs();
+    }
+
+    private static void again(Turn turn, Exchange exchange, EndReason why) {
+        Found found = Dispatcher.find(turn, exchange);
+        boolean begun = exchange.history().begun();
+        boolean waits =
+                found.availability() == Availability.FULL || begun && found.availability() == Availability.SUSPECTED;
+        if (found.choice().isEmpty() && !waits) {
+            Ending.fail(turn, exchange, EndReason.NO_BACKEND);
+            return;
+        }
+        if (!begun) {
+            RetryBudget spent = turn.state().budget().spent();
+            turn.state(turn.state().with(spent));
+        }
+        turn.log(EventCode.REQUEST_RETRIED, exchange.id() + " " + why.reason() + ": " + why.detail());
+        if (found.choice().isDefined()) {
+            Cause cause = exchange.history().next();
+            Dispatcher.dispatch(turn, exchange, found.choice().get(), cause);
+            return;
+        }
+        Waiting.rejoin(turn, exchange);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Turn.java
@@ -0,0 +1,157 @@
+package org.fuchsiadeck.core.request;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.UnaryOperator;
+
+import io.vavr.collection.Queue;
+import io.vavr.control.Option;
+import org.fuchsiadeck.core.Effect;
+import org.fuchsiadeck.core.Event;
+import org.fuchsiadeck.core.EventCode;
+import org.fuchsiadeck.core.Step;
+import org.fuchsiadeck.core.View;
+import org.fuchsiadeck.core.config.Policy;
+import org.fuchsiadeck.core.limit.ServiceLoad;
+import org.fuchsiadeck.core.model.Backend;
+import org.fuchsiadeck.core.model.BackendId;
+import org.fuchsiadeck.core.model.RequestId;
+import org.fuchsiadeck.core.routing.Fleet;
+import org.fuchsiadeck.core.routing.Router;
+import org.fuchsiadeck.core.routing.SplitMix;
+
+/**
+ * The reduction of one event: the state as it changes, and the effects so far. Lives no longer than the event.
+ */
+final class Turn {
+    private static final int MAX_DECISIONS = 64;
+
+    private final View view;
+    private final Router router;
+    private final List<Effect> effects = new ArrayList<>();
+    private final Set<String> freed = new LinkedHashSet<>();
+    private final Set<BackendId> leaving = new LinkedHashSet<>();
+    private RequestState state;
+
+    Turn(RequestState state, View view, Router router) {
+        this.state = state;
+        this.view = view;
+        this.router = router;
+    }
+
+    Step<RequestState> step() {
+        return new Step<>(state, effects);
+    }
+
+    View view() {
+        return view;
+    }
+
+    Router router() {
+        return router;
+    }
+
+    long nowMs() {
+        return view.nowMs();
+    }
+
+    Policy policy() {
+        return Policies.of(view);
+    }
+
+    RequestState state() {
+        return state;
+    }
+
+    void state(RequestState next) {
+        state = next;
+    }
+
+    Option<Exchange> find(RequestId id) {
+        return state.open().get(id);
+    }
+
+    /** Keeps a request in its new condition. */
+    Exchange keep(Exchange next) {
+        state = state.withOpen(state.open().put(next.id(), next));
+        return next;
+    }
+
+    void forget(RequestId id) {
+        state = state.withOpen(state.open().remove(id));
+    }
+
+    void fleet(UnaryOperator<Fleet> change) {
+        state = state.with(change.apply(state.fleet()));
+    }
+
+    void load(String service, UnaryOperator<ServiceLoad> change) {
+        ServiceLoad old = state.loads().getOrElse(service, ServiceLoad.NONE);
+        state = state.withLoad(service, change.apply(old));
+    }
+
+    void count(UnaryOperator<Counters> change) {
+        state = state.with(change.apply(state.counters()));
+    }
+
+    void effect(Effect effect) {
+        effects.add(effect);
+    }
+
+    void raise(Event event) {
+        effects.add(new Effect.Raise(event));
+    }
+
+    void schedule(long atMs, Event event) {
+        effects.add(new Effect.Schedule(atMs, event));
+    }
+
+    void log(EventCode code, String detail) {
+        effects.add(new Effect.Log(code, detail));
+    }
+
+    void decide(RequestId id, Decision.Kind kind, Optional<Backend> backend, String reason) {
+        Decision decision = new Decision(nowMs(), id, kind, backend.map(Backend::id), reason);
+        Queue<Decision> all = state.decisions().enqueue(decision);
+        state = state.withDecisions(all.size() > MAX_DECISIONS ? all.tail() : all);
+    }
+
+    /** Notes that a request of a service may be dispatched now. */
+    void freed(String service) {
+        freed.add(service);
+    }
+
+    /** Notes that the attempts at a leaving server have to be looked at. */
+    void leaving(BackendId id) {
+        leaving.add(id);
+    }
+
+    /** Returns the leaving servers noted since the last call. */
+    List<BackendId> takeLeaving() {
+        List<BackendId> ids = List.copyOf(leaving);
+        leaving.clear();
+        return ids;
+    }
+
+    /** Returns the services noted since the last call. */
+    List<String> takeFreed() {
+        List<String> services = List.copyOf(freed);
+        freed.clear();
+        return services;
+    }
+
+    /** Draws 64 random bits. */
+    long draw() {
+        long bits = SplitMix.draw(view.self().seed(), state.draws());
+        state = state.drawn();
+        return bits;
+    }
+
+    /** Spreads a time to come back, so that callers refused together do not come back together. */
+    long spread(long atLeastMs) {
+        return atLeastMs + Math.round(atLeastMs * SplitMix.unit(draw()));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiadeck/core/routing/Choice.java
@@ -0,0 +1,41 @@
+package org.fuchsiadeck.core.routing;
+
+import java.util.Optional;
+
+import org.fuchsiadeck.core.model.BackendId;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * The server a router chose, and against what.
+ *
+ * @param server the server
+ * @param score its score, the less the better
+ * @param other the next best server that was looked at
+ * @param otherScore the score of the other
+ */
+public record Choice(Server server, double score, Optional<BackendId> other, double otherScore) {
+    public Choice {
+        requireNonNull(server, "server");
+        requireNonNull(other, "other");
+    }
+
+    static Choice only(Server server, double score) {
+        return new Choice(server, score, Optional.empty(), 0);
+    }
+
+    /**
+     * Returns the choice in words.
+     *
+     * @return the servers and their scores
+     */
+    public String reason() {
+        String chosen = text(server.backend().id(), score);
+        return other.map(o -> chosen + " over " + text(o, otherScore)).orElse(chosen);
+    }
+
+    private static String text(BackendId id, double score) {
+        long thousandths = Math.round(score * 1_000);
+        return id + " at " + thousandths + "/1000";
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiadeck/core/routing/Fleet.java
@@ -0,0 +1,176 @@
+package org.fuchsiadeck.core.routing;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.UnaryOperator;
+
+import io.vavr.collection.Array;
+import io.vavr.collection.HashMap;
+import io.vavr.collection.Map;
+import io.vavr.control.Option;
+import org.fuchsiadeck.core.Identity;
+import org.fuchsiadeck.core.model.Backend;
+import org.fuchsiadeck.core.model.BackendId;
+import org.fuchsiadeck.core.model.BackendReport;
+import org.fuchsiadeck.core.model.Peers;
+
+/**
+ * What a node knows of the backend servers.
+ *
+ * @param servers the servers that are listed or have attempts in progress
+ * @param departures the servers that leave, also those not listed
+ * @param pools which servers meet a need, kept until the list or the peers change
+ * @param peers the other nodes at the time the pools were made
+ * @param sent which prompt prefixes were sent where
+ */
+public record Fleet(
+        Map<BackendId, Server> servers,
+        Map<BackendId, Departure> departures,
+        Map<Need, Pool> pools,
+        Peers peers,
+        PrefixView sent) {
+    /** No server is known. */
+    public static final Fleet EMPTY =
+            new Fleet(HashMap.empty(), HashMap.empty(), HashMap.empty(), Peers.NONE, PrefixView.EMPTY);
+
+    /**
+     * Takes a new list of servers. A server known to leave keeps leaving, though the list calls it live.
+     *
+     * @param listed the servers
+     * @param nowMs the time, in milliseconds
+     * @param max the greatest concurrency allowed at a server
+     * @return the next fleet
+     */
+    public Fleet listed(List<Backend> listed, long nowMs, int max) {
+        if (unchanged(listed, nowMs)) {
+            return this;
+        }
+        Map<BackendId, Server> next =
+                servers.filterValues(s -> s.inFlight() > 0).mapValues(Server::unlisted);
+        Map<BackendId, Departure> leaving = departures.filterValues(d -> nowMs < d.heldUntilMs());
+        for (Backend backend : listed) {
+            Server server =
+                    servers.get(backend.id()).map(s -> s.listed(backend)).getOrElse(() -> Server.fresh(backend, max));
+            next = next.put(backend.id(), server);
+            if (backend.leaving() && !leaving.containsKey(backend.id())) {
+                leaving = leaving.put(backend.id(), Departure.assumed(nowMs));
+            }
+        }
+        return new Fleet(next, leaving, HashMap.empty(), peers, sent);
+    }
+
+    /**
+     * Takes a reclaim notice.
+     *
+     * @param id the server
+     * @param nowMs the time, in milliseconds
+     * @param noticeMs the time left, in milliseconds
+     * @return the next fleet; the same if the server had a notice
+     */
+    public Fleet noticed(BackendId id, long nowMs, long noticeMs) {
+        if (departures.get(id).exists(Departure::noticed)) {
+            return this;
+        }
+        return departing(id, Departure.noticed(nowMs, noticeMs));
+    }
+
+    /**
+     * Takes a server's report of itself.
+     *
+     * @param id the server
+     * @param report the report
+     * @param nowMs the time, in milliseconds
+     * @return the next fleet
+     */
+    public Fleet reported(BackendId id, BackendReport report, long nowMs) {
+        Fleet next = with(id, s -> s.reported(ReportedLoad.of(report, s.inFlight(), nowMs)));
+        if (!report.leaving() || departures.containsKey(id)) {
+            return next;
+        }
+        return next.departing(id, Departure.assumed(nowMs));
+    }
+
+    /**
+     * Changes what is known of a server. A server that is neither listed nor in use is forgotten.
+     *
+     * @param id the server
+     * @param change gives what is known next
+     * @return the next fleet; the same if the server is not known
+     */
+    public Fleet with(BackendId id, UnaryOperator<Server> change) {
+        Option<Server> server = servers.get(id).map(change);
+        if (server.isEmpty()) {
+            return this;
+        }
+        boolean kept = server.get().listed() || server.get().inFlight() > 0;
+        Map<BackendId, Server> next = kept ? servers.put(id, server.get()) : servers.remove(id);
+        return new Fleet(next, departures, pools, peers, sent);
+    }
+
+    /**
+     * Takes into account that a prompt was sent to a server.
+     *
+     * @param prefix hashes of the prompt's prefixes, the shortest first
+     * @param id the server
+     * @return the next fleet
+     */
+    public Fleet sent(List<Long> prefix, BackendId id) {
+        if (prefix.isEmpty()) {
+            return this;
+        }
+        return new Fleet(servers, departures, pools, peers, sent.sent(prefix, id));
+    }
+
+    /**
+     * Prepares the servers that meet a need.
+     *
+     * @param need the need
+     * @param self this node
+     * @param others the other nodes
+     * @return a fleet whose {@link #pools()} has the need
+     */
+    public Fleet pooled(Need need, Identity self, Peers others) {
+        boolean current = others == peers || others.equals(peers);
+        Map<Need, Pool> kept = current ? pools : HashMap.empty();
+        if (kept.containsKey(need)) {
+            return this;
+        }
+        Array<Backend> able = servers.values()
+                .filter(Server::listed)
+                .map(Server::backend)
+                .filter(need::metBy)
+                .filter(b -> !departures.containsKey(b.id()))
+                .toArray();
+        Array<Backend> part = Array.empty();
+        for (Array<Backend> version : able.groupBy(Backend::version).values()) {
+            part = part.appendAll(Subset.of(version, self.id(), others));
+        }
+        return new Fleet(servers, departures, kept.put(need, Pool.of(part)), others, sent);
+    }
+
+    /**
+     * Returns when a server is gone.
+     *
+     * @param id the server
+     * @return its departure, if it leaves
+     */
+    public Optional<Departure> departure(BackendId id) {
+        return departures.get(id).toJavaOptional();
+    }
+
+    private boolean unchanged(List<Backend> listed, long nowMs) {
+        return listed.size() == servers.count(s -> s._2.listed())
+                && departures.values().forAll(d -> nowMs < d.heldUntilMs())
+                && listed.stream().allMatch(this::known);
+    }
+
+    private boolean known(Backend backend) {
+        boolean same =
+                servers.get(backend.id()).exists(s -> s.listed() && s.backend().equals(backend));
+        return same && (!backend.leaving() || departures.containsKey(backend.id()));
+    }
+
+    private Fleet departing(BackendId id, Departure departure) {
+        return new Fleet(servers, departures.put(id, departure), pools, peers, sent);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiadeck/core/routing/ScoredRouter.java
@@ -0,0 +1,82 @@
+package org.fuchsiadeck.core.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import io.vavr.control.Option;
+import org.fuchsiadeck.core.model.BackendId;
+
+/**
+ * Compares two seeded picks and the latest server that should hold the prompt's prefix.
+ */
+final class ScoredRouter implements Router {
+    /** The most that a held prefix makes up for, in requests for each slot. It bounds the load that affinity causes. */
+    private static final double PREFIX_WEIGHT = 0.5;
+
+    private static final double ZONE_WEIGHT = 0.05;
+    private static final double PRICE_WEIGHT = 0.1;
+
+    @Override
+    public Option<Choice> choose(Candidates candidates, Query query) {
+        List<Server> picks = picks(candidates, query);
+        if (picks.isEmpty()) {
+            return Option.none();
+        }
+        double price = picks.stream()
+                .mapToDouble(s -> s.backend().pricePerHour())
+                .average()
+                .orElse(0);
+        Choice best = null;
+        for (Server pick : picks) {
+            best = better(best, pick, score(pick, query, price));
+        }
+        return Option.of(best);
+    }
+
+    private static Choice better(Choice best, Server pick, double score) {
+        if (best == null) {
+            return Choice.only(pick, score);
+        }
+        if (score < best.score()) {
+            return new Choice(pick, score, Optional.of(best.server().backend().id()), best.score());
+        }
+        boolean closer = best.other().isEmpty() || score < best.otherScore();
+        return closer
+                ? new Choice(
+                        best.server(), best.score(), Optional.of(pick.backend().id()), score)
+                : best;
+    }
+
+    private static List<Server> picks(Candidates candidates, Query query) {
+        int size = candidates.ids().size();
+        List<Server> picks = new ArrayList<>();
+        if (size == 0) {
+            return picks;
+        }
+        int first = candidates.next(SplitMix.below(SplitMix.draw(query.seed(), 0), size));
+        if (first < 0) {
+            return picks;
+        }
+        picks.add(candidates.at(first));
+        int second = candidates.next((first + 1 + SplitMix.below(SplitMix.draw(query.seed(), 1), size)) % size);
+        if (second == first) {
+            second = candidates.next((first + 1) % size);
+        }
+        if (second != first) {
+            picks.add(candidates.at(second));
+        }
+        for (BackendId holder : query.sent().holders(query.prefix())) {
+            candidates.usable().apply(holder).filter(s -> !picks.contains(s)).forEach(picks::add);
+        }
+        return picks;
+    }
+
+    private static double score(Server server, Query query, double meanPrice) {
+        double load = server.loadAt(query.nowMs());
+        double prefix = query.sent().match(query.prefix(), server.backend().id());
+        double zone = server.backend().zone().equals(query.zone()) ? 0 : ZONE_WEIGHT;
+        double price = meanPrice > 0 ? PRICE_WEIGHT * server.backend().pricePerHour() / meanPrice : 0;
+        return load - PREFIX_WEIGHT * prefix + zone + price;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiadeck/core/routing/Server.java
@@ -0,0 +1,90 @@
+package org.fuchsiadeck.core.routing;
+
+import org.fuchsiadeck.core.limit.ConcurrencyLimit;
+import org.fuchsiadeck.core.model.Backend;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * What a node knows of one backend server.
+ *
+ * @param backend the server as last listed
+ * @param listed whether it was on the last list
+ * @param inFlight this node's attempts in progress there
+ * @param limit how many there may be
+ * @param health whether it is suspected
+ * @param load the work of others there
+ */
+public record Server(
+        Backend backend, boolean listed, int inFlight, ConcurrencyLimit limit, Health health, ReportedLoad load) {
+    public Server {
+        requireNonNull(backend, "backend");
+        requireNonNull(limit, "limit");
+        requireNonNull(health, "health");
+        requireNonNull(load, "load");
+    }
+
+    /**
+     * Returns a server that has just been listed.
+     *
+     * @param backend the server
+     * @param max the greatest concurrency allowed
+     * @return what is known of it
+     */
+    static Server fresh(Backend backend, int max) {
+        ConcurrencyLimit limit = ConcurrencyLimit.start(backend.slots(), max);
+        return new Server(backend, true, 0, limit, Health.GOOD, ReportedLoad.NONE);
+    }
+
+    /**
+     * Estimates how full the server is: this node's attempts, and what others had there when it last reported.
+     *
+     * @param nowMs the time, in milliseconds
+     * @return requests for each slot
+     */
+    public double loadAt(long nowMs) {
+        return (inFlight + load.estimate(nowMs)) / backend.slots();
+    }
+
+    Server listed(Backend now) {
+        return new Server(now, true, inFlight, limit, health, load);
+    }
+
+    Server unlisted() {
+        return new Server(backend, false, inFlight, limit, health, load);
+    }
+
+    Server reported(ReportedLoad next) {
+        return new Server(backend, listed, inFlight, limit, health, next);
+    }
+
+    /**
+     * Changes how many attempts are in progress.
+     *
+     * @param change the number to add
+     * @return the server with the new number
+     */
+    public Server attempts(int change) {
+        return new Server(backend, listed, inFlight + change, limit, health, load);
+    }
+
+    /**
+     * Changes how many attempts there may be.
+     *
+     * @param next the new limit
+     * @return the server with the limit
+     */
+    public Server with(ConcurrencyLimit next) {
+        return new Server(backend, listed, inFlight, next, health, load);
+    }
+
+    /**
+     * Changes whether the server is suspected.
+     *
+     * @param next the new health
+     * @return the server with the health
+     */
+    public Server with(Health next) {
+        return new Server(backend, listed, inFlight, limit, next, load);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/fuchsiadeck/core/request/Harness.java
@@ -0,0 +1,198 @@
+package org.fuchsiadeck.core.request;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.Set;
+import java.util.stream.IntStream;
+
+import org.fuchsiadeck.core.Effect;
+import org.fuchsiadeck.core.Event;
+import org.fuchsiadeck.core.Identity;
+import org.fuchsiadeck.core.Step;
+import org.fuchsiadeck.core.View;
+import org.fuchsiadeck.core.config.Configuration;
+import org.fuchsiadeck.core.config.Policy;
+import org.fuchsiadeck.core.config.Route;
+import org.fuchsiadeck.core.config.Team;
+import org.fuchsiadeck.core.model.Address;
+import org.fuchsiadeck.core.model.Backend;
+import org.fuchsiadeck.core.model.BackendId;
+import org.fuchsiadeck.core.model.NodeId;
+import org.fuchsiadeck.core.model.Peers;
+import org.fuchsiadeck.core.model.RequestId;
+import org.fuchsiadeck.core.model.TeamId;
+import org.fuchsiadeck.core.model.VersionShares;
+import org.fuchsiadeck.core.model.Zone;
+import org.fuchsiadeck.core.platform.PlatformEvent;
+import org.fuchsiadeck.core.routing.Server;
+
+/** A node's requests in virtual time: feeds events and keeps the effects. */
+final class Harness {
+    static final Route MEAL =
+            new Route("meals", "registers", Backend.Kind.APPLICATION, "POST", "/meals", false, 10_000, 1_000, 5);
+    static final Route STATUS =
+            new Route("status", "registers", Backend.Kind.APPLICATION, "GET", "/status", true, 10_000, 1_000, 5);
+    static final Route DRAFT =
+            new Route("draft", "assistant", Backend.Kind.ENGINE, "POST", "/draft", true, 60_000, 100_000, 5);
+
+    final List<Effect> effects = new ArrayList<>();
+    final RequestReducer reducer;
+    Policy policy = Policy.DEFAULT;
+    VersionShares shares = VersionShares.NONE;
+    List<Team> teams = List.of();
+    RequestState state = RequestState.initial();
+    long nowMs = 1_000;
+
+    Harness() {
+        this(new RequestReducer());
+    }
+
+    Harness(RequestReducer reducer) {
+        this.reducer = reducer;
+    }
+
+    /** Reduces an event and those it raises for this package; returns the new effects. */
+    List<Effect> take(Event first) {
+        Queue<Event> events = new ArrayDeque<>(List.of(first));
+        List<Effect> out = new ArrayList<>();
+        while (!events.isEmpty()) {
+            Step<RequestState> step = reducer.reduce(state, view(), events.remove());
+            state = step.state();
+            for (Effect effect : step.effects()) {
+                out.add(effect);
+                if (effect instanceof Effect.Raise raise) {
+                    events.add(raise.event());
+                }
+            }
+        }
+        effects.addAll(out);
+        return out;
+    }
+
+    View view() {
+        Identity self = new Identity(new NodeId("n1"), new Zone("howrah"), new Address("127.0.0.1", 1), 42);
+        Configuration config = new Configuration(1, policy, List.of(), List.of(MEAL, STATUS, DRAFT), teams);
+        return new View(self, nowMs, nowMs, config, shares, Peers.NONE);
+    }
+
+    /** Advances the time and delivers the timers that are due, in their order. */
+    void advance(long ms) {
+        long end = nowMs + ms;
+        while (true) {
+            Optional<Effect.Schedule> next = effects.stream()
+                    .filter(e -> e instanceof Effect.Schedule s && s.atMs() <= end)
+                    .map(Effect.Schedule.class::cast)
+                    .min((a, b) -> Long.compare(a.atMs(), b.atMs()));
+            if (next.isEmpty()) {
+                nowMs = end;
+                return;
+            }
+            effects.remove(next.get());
+            nowMs = Math.max(nowMs, next.get().atMs());
+            take(next.get().event());
+        }
+    }
+
+    void list(Backend... backends) {
+        take(new PlatformEvent.Listed(List.of(backends), List.of()));
+    }
+
+    List<Effect> arrive(String id, Route route) {
+        return arrive(id, route, "t", Optional.empty());
+    }
+
+    List<Effect> arrive(String id, Route route, String team, Optional<String> key) {
+        boolean engine = route.kind() == Backend.Kind.ENGINE;
+        Optional<CallerRequest.Completion> completion = engine
+                ? Optional.of(new CallerRequest.Completion("m", Optional.empty(), List.of(1L, 2L), 300, 100))
+                : Optional.empty();
+        CallerRequest call =
+                new CallerRequest(route.method(), route.path(), new TeamId(team), key, 10, engine, completion);
+        return take(new RequestEvent.Arrived(new RequestId(id), call));
+    }
+
+    List<Effect> writing(String id, int attempt) {
+        return take(new RequestEvent.Writing(new RequestId(id), attempt));
+    }
+
+    List<Effect> started(String id, int attempt) {
+        return take(new RequestEvent.AnswerStarted(new RequestId(id), attempt, Optional.empty()));
+    }
+
+    List<Effect> progressed(String id, int attempt, int tokens) {
+        return take(new RequestEvent.Progressed(new RequestId(id), attempt, tokens));
+    }
+
+    List<Effect> completed(String id, int attempt) {
+        return take(new RequestEvent.AnswerCompleted(new RequestId(id), attempt, 200, 0, 0, Optional.empty()));
+    }
+
+    List<Effect> failed(String id, int attempt, Failure.Step step, Failure.Kind kind) {
+        Failure failure = new Failure(step, kind, "127.0.0.1:2", "seen");
+        return take(new RequestEvent.AttemptFailed(new RequestId(id), attempt, failure, Optional.empty()));
+    }
+
+    Server server(String id) {
+        return state.fleet().servers().get(new BackendId(id)).get();
+    }
+
+    static Backend app(String id) {
+        return backend(id, "registers", Backend.Kind.APPLICATION, "v1", 4, false);
+    }
+
+    static Backend engine(String id, String version) {
+        return backend(id, "assistant", Backend.Kind.ENGINE, version, 4, false);
+    }
+
+    static Backend[] apps(int count) {
+        return IntStream.range(0, count).mapToObj(i -> app("a" + i)).toArray(Backend[]::new);
+    }
+
+    static Backend backend(String id, String service, Backend.Kind kind, String version, int slots, boolean leaving) {
+        Set<String> models = kind == Backend.Kind.ENGINE ? Set.of("m") : Set.of();
+        return new Backend(
+                new BackendId(id),
+                new Address("127.0.0.1", 2),
+                new Zone("howrah"),
+                kind,
+                service,
+                version,
+                models,
+                Set.of(),
+                Set.of(),
+                slots,
+                1,
+                true,
+                leaving);
+    }
+
+    static VersionShares rollout(double share) {
+        return new VersionShares(
+                Map.of("registers", new VersionShares.Split(1, "v1", "v2", share, Set.of())), Set.of());
+    }
+
+    static <E> List<E> of(List<Effect> effects, Class<E> type) {
+        return effects.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    /** Returns the raised events of a type. */
+    static <E> List<E> raised(List<Effect> effects, Class<E> type) {
+        return of(effects, Effect.Raise.class).stream()
+                .map(Effect.Raise::event)
+                .filter(type::isInstance)
+                .map(type::cast)
+                .toList();
+    }
+
+    static RequestEffect.Dispatch dispatch(List<Effect> effects) {
+        return of(effects, RequestEffect.Dispatch.class).get(0);
+    }
+
+    static RequestEffect.Respond respond(List<Effect> effects) {
+        return of(effects, RequestEffect.Respond.class).get(0);
+    }
+}
