--- /dev/null
+++ b/node/src/main/java/org/fuchsiadeck/node/Node.java
@@ -0,0 +1,220 @@
+package org.fuchsiadeck.node;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import org.fuchsiadeck.core.Effect;
+import org.fuchsiadeck.core.Event;
+import org.fuchsiadeck.core.EventCode;
+import org.fuchsiadeck.core.Lifecycle;
+import org.fuchsiadeck.core.NodeState;
+import org.fuchsiadeck.core.config.Configuration;
+import org.fuchsiadeck.core.platform.PlatformEffect;
+import org.fuchsiadeck.core.platform.PlatformEvent;
+import org.fuchsiadeck.core.request.RequestEffect;
+import org.fuchsiadeck.node.backend.BackendClient;
+import org.fuchsiadeck.node.client.HttpClient;
+import org.fuchsiadeck.node.exchange.Exchanges;
+import org.fuchsiadeck.node.front.CallerServer;
+import org.fuchsiadeck.node.front.Front;
+import org.fuchsiadeck.node.listing.InstanceList;
+import org.fuchsiadeck.node.log.EventLog;
+import org.fuchsiadeck.node.operator.Operations;
+import org.fuchsiadeck.node.operator.OperatorServer;
+import org.fuchsiadeck.node.operator.StateJson;
+import org.fuchsiadeck.node.run.Closer;
+import org.fuchsiadeck.node.run.Effects;
+import org.fuchsiadeck.node.run.EventLoop;
+import org.fuchsiadeck.node.settings.LoadedSettings;
+import org.fuchsiadeck.node.settings.Settings;
+import org.fuchsiadeck.node.settings.SettingsError;
+
+/**
+ * An entry node within a process. It serves from {@link #start} until {@link #awaitDrained} returns.
+ */
+public final class Node implements AutoCloseable {
+    private static final long SWEEP_MS = 250;
+
+    private final Settings settings;
+    private final Parts parts;
+    private final Closer closer = new Closer();
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final EventLog log = new EventLog();
+    private final Exchanges exchanges = new Exchanges();
+    private final Effects effects = new Effects();
+    private final EventLoop loop;
+    private final Drain drain;
+    private BackendClient backends;
+    private CallerServer callers;
+    private InstanceList instances;
+
+    private Node(Settings settings, Parts parts) {
+        this.settings = settings;
+        this.parts = parts;
+        this.loop = new EventLoop(NodeState.initial(settings.identity()), parts.decisions(), effects, metrics);
+        this.drain = new Drain(this::beginDrain, () -> exchanges.size() + callers.unfinished());
+    }
+
+    /**
+     * Starts a node.
+     *
+     * @param loaded the settings
+     * @param parts the parts that can be exchanged
+     * @return the node, or why it can't start; nothing stays open then
+     */
+    public static Either<SettingsError, Node> start(LoadedSettings loaded, Parts parts) {
+        Node node = new Node(loaded.settings(), parts);
+        try {
+            node.open();
+            return Either.right(node);
+        } catch (StartException e) {
+            node.close();
+            return Either.left(loaded.error(e.key(), e.getMessage()));
+        }
+    }
+
+    private void open() throws StartException {
+        closer.add(loop);
+        HttpClient client = closer.add(step("callers.address", HttpClient::start));
+        backends = new BackendClient(
+                client,
+                loop,
+                this::configuration,
+                log,
+                metrics,
+                settings.limits().maxAnswerBytes());
+        instances = new InstanceList(client, settings.cloud(), this::postListing, metrics);
+        effects.on(RequestEffect.class, new RequestEffects(exchanges, backends))
+                .on(
+                        PlatformEffect.class,
+                        step("platform.address", () -> parts.platform().open(settings, loop, closer)))
+                .on(Effect.Send.class, step("peers.address", () -> parts.peers().open(settings, loop, closer)))
+                .on(Effect.Log.class, log)
+                .on(Effect.Stop.class, e -> drain.allAnswered());
+        callers = closer.add(step("callers.address", () -> CallerServer.start(front())));
+        closer.add(step(
+                "operators.address",
+                () -> OperatorServer.start(settings.operators(), settings.operatorToken(), operations())));
+        metrics.registerGauge("requests.open", exchanges::size);
+        metrics.registerGauge("front.connections", callers::connections);
+        loop.start();
+        loop.post(new Lifecycle.Started());
+        Housekeeping chores = closer.add(new Housekeeping());
+        chores.every(settings.cloudPollMs(), instances::poll);
+        chores.every(SWEEP_MS, this::sweep);
+        log.write(EventCode.NODE_STARTED, settings.identity().id() + " callers " + settings.callers());
+    }
+
+    private Front front() {
+        return new Front(
+                settings.identity().id(),
+                settings.callers(),
+                settings.limits(),
+                exchanges,
+                loop,
+                this::configuration,
+                log,
+                metrics);
+    }
+
+    private Operations operations() {
+        return new Operations(this::unready, this::dump, metrics, () -> requestStop(settings.drainNoticeMs()));
+    }
+
+    /**
+     * Asks the node to stop once what is in progress has been answered. Asking again does nothing.
+     *
+     * @param noticeMs the time left, in milliseconds
+     */
+    public void requestStop(long noticeMs) {
+        drain.request(noticeMs);
+    }
+
+    /**
+     * Waits until the node was asked to stop and has answered what was in progress, or its time is over.
+     *
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public void awaitDrained() throws InterruptedException {
+        drain.await();
+    }
+
+    /** Closes all that the node has opened. Answers still in progress are cut. */
+    @Override
+    public void close() {
+        closer.close();
+        log.write(EventCode.NODE_STOPPED, settings.identity().id().toString());
+    }
+
+    private void beginDrain(long noticeMs) {
+        log.write(EventCode.NODE_DRAINING, settings.identity().id() + " notice " + noticeMs + " ms");
+        callers.drain();
+        loop.post(new Lifecycle.StopRequested(noticeMs));
+    }
+
+    private void postListing(Event event) {
+        loop.post(event);
+        boolean own = event instanceof PlatformEvent.ReclaimNoticed notice
+                && notice.instance().equals(settings.identity().id().value());
+        if (own) {
+            requestStop(((PlatformEvent.ReclaimNoticed) event).noticeMs());
+        }
+    }
+
+    private void sweep() {
+        callers.sweep();
+        backends.sweep();
+        exchanges.reportWaiting();
+    }
+
+    private Configuration configuration() {
+        return parts.configuration().apply(loop.state());
+    }
+
+    private List<String> unready() {
+        List<String> reasons = new ArrayList<>(parts.unready().apply(loop.state()));
+        if (drain.isRequested()) {
+            reasons.add("the node is draining");
+        }
+        if (!instances.isKnown()) {
+            reasons.add("the list of instances was not read yet");
+        }
+        return reasons;
+    }
+
+    private JsonNode dump() {
+        NodeState state = loop.state();
+        ObjectNode json = JsonNodeFactory.instance.objectNode();
+        json.put("now_ms", loop.nowMs());
+        json.put("draining", drain.isRequested());
+        json.set("unready", StateJson.of(unready()));
+        json.set("settings", StateJson.of(settings));
+        json.put("config_revision", configuration().revision());
+        json.set("idle_connections", StateJson.of(backends.idleConnections()));
+        json.put("requests_open", exchanges.size());
+        json.set("state", StateJson.of(state));
+        return json;
+    }
+
+    /** Opens one part. */
+    @FunctionalInterface
+    private interface Opening<T> {
+        T open() throws Exception;
+    }
+
+    private static <T> T step(String key, Opening<T> opening) throws StartException {
+        try {
+            return opening.open();
+        } catch (IOException e) {
+            throw new StartException(key, "can't be opened: " + e.getMessage(), e);
+        } catch (Exception e) {
+            throw new StartException(key, "can't be used: " + e, e);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiadeck/node/NodeDaemon.java
@@ -0,0 +1,96 @@
+package org.fuchsiadeck.node;
+
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import io.vavr.control.Either;
+import org.fuchsiadeck.node.log.LogOutput;
+import org.fuchsiadeck.node.settings.LoadedSettings;
+import org.fuchsiadeck.node.settings.Settings;
+import org.fuchsiadeck.node.settings.SettingsError;
+import org.fuchsiadeck.node.settings.SettingsFile;
+
+/**
+ * Runs an entry node as a process.
+ */
+public final class NodeDaemon {
+    /** The exit code after a graceful shutdown. */
+    public static final int EXIT_STOPPED = 0;
+
+    /** The exit code when the settings can't be used. */
+    public static final int EXIT_BAD_SETTINGS = 2;
+
+    private static final long CLOSE_WAIT_MS = 10_000;
+
+    private NodeDaemon() {}
+
+    /**
+     * Runs a node until it is asked to stop.
+     *
+     * @param settings the settings file
+     * @return the exit code
+     */
+    public static int run(Path settings) {
+        return run(settings, Parts.standard());
+    }
+
+    /**
+     * Runs a node with other parts than the standard ones.
+     *
+     * @param settings the settings file
+     * @param parts the parts
+     * @return the exit code
+     */
+    public static int run(Path settings, Parts parts) {
+        LogOutput.select();
+        Either<SettingsError, LoadedSettings> read = SettingsFile.read(settings);
+        if (read.isLeft()) {
+            return fail(read.getLeft());
+        }
+        Settings checked = read.get().settings();
+        try (LogOutput output = LogOutput.start(checked.identity().id().value(), checked.logLevel())) {
+            Either<SettingsError, Node> node = Node.start(read.get(), parts);
+            return node.fold(NodeDaemon::fail, n -> serve(n, checked.drainNoticeMs()));
+        }
+    }
+
+    private static int fail(SettingsError error) {
+        System.err.println(error);
+        return EXIT_BAD_SETTINGS;
+    }
+
+    private static int serve(Node node, long noticeMs) {
+        CountDownLatch closed = new CountDownLatch(1);
+        Thread hook = new Thread(() -> drain(node, noticeMs, closed), "shutdown");
+        Runtime.getRuntime().addShutdownHook(hook);
+        try {
+            node.awaitDrained();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            node.close();
+            closed.countDown();
+        }
+        removeHook(hook);
+        return EXIT_STOPPED;
+    }
+
+    private static void drain(Node node, long noticeMs, CountDownLatch closed) {
+        node.requestStop(noticeMs);
+        try {
+            closed.await(noticeMs + CLOSE_WAIT_MS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void removeHook(Thread hook) {
+        try {
+            Runtime.getRuntime().removeShutdownHook(hook);
+        } catch (IllegalStateException e) {
+            // The process is shutting down, and the hook is running.
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/Attempt.java
@@ -0,0 +1,245 @@
+package org.fuchsiadeck.node.backend;
+
+import java.util.Optional;
+
+import org.fuchsiadeck.core.model.BackendReport;
+import org.fuchsiadeck.core.model.RequestId;
+import org.fuchsiadeck.core.request.Failure;
+import org.fuchsiadeck.core.request.Failure.Kind;
+import org.fuchsiadeck.core.request.Failure.Step;
+import org.fuchsiadeck.core.request.RequestEffect;
+import org.fuchsiadeck.core.request.RequestEvent;
+import org.fuchsiadeck.node.client.AnswerListener;
+import org.fuchsiadeck.node.client.ConnectHandler;
+import org.fuchsiadeck.node.client.HttpConnection;
+import org.fuchsiadeck.node.exchange.AttemptControl;
+import org.fuchsiadeck.node.exchange.Exchange;
+import org.fuchsiadeck.node.exchange.WholeAnswer;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.http.HttpPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+
+/**
+ * One attempt to have a request answered by a backend server. Ends exactly once, with {@code AnswerCompleted} or {@code
+ * AttemptFailed}.
+ */
+final class Attempt implements ConnectHandler, AnswerListener, AttemptControl {
+    private static final int OK = 200;
+    private static final int REDIRECT = 300;
+    private static final int SERVER_ERROR = 500;
+    private static final int UNAVAILABLE = 503;
+
+    private final Exchange exchange;
+    private final RequestEffect.Dispatch dispatch;
+    private final HttpPacket request;
+    private final int resumedAt;
+    private final BackendIo io;
+    private volatile Optional<BackendReport> report = Optional.empty();
+    private Step step = Step.CONNECTING;
+    private boolean ended;
+    private boolean completed;
+    private HttpConnection connection;
+    private Reply reply;
+
+    /**
+     * Creates an attempt that has not begun.
+     *
+     * @param exchange the caller's request
+     * @param dispatch the attempt
+     * @param request what to write
+     * @param resumedAt tokens delivered before
+     * @param io what attempts share
+     */
+    Attempt(Exchange exchange, RequestEffect.Dispatch dispatch, HttpPacket request, int resumedAt, BackendIo io) {
+        this.exchange = exchange;
+        this.dispatch = dispatch;
+        this.request = request;
+        this.resumedAt = resumedAt;
+        this.io = io;
+    }
+
+    @Override
+    public void connected(HttpConnection opened) {
+        boolean late;
+        synchronized (this) {
+            late = ended;
+            if (!late) {
+                connection = opened;
+                step = Step.AWAITING;
+                io.events().post(new RequestEvent.Writing(id(), dispatch.attempt()));
+            }
+        }
+        if (late) {
+            io.release(opened);
+            return;
+        }
+        opened.send(request, this);
+    }
+
+    @Override
+    public void failed(String detail) {
+        fail(Kind.UNREACHABLE, detail);
+    }
+
+    @Override
+    public void onHead(HttpResponsePacket packet) {
+        if (isEnded()) {
+            return;
+        }
+        AnswerHead head = AnswerHead.of(packet);
+        setStreaming();
+        if (!head.answers(id(), dispatch.attempt())) {
+            io.stale(
+                    dispatch,
+                    "an answer to " + head.requestId().orElse("no request") + " attempt "
+                            + head.attempt().orElse("none") + " came for " + id());
+            fail(Kind.BAD_ANSWER, "the answer is of another request");
+            return;
+        }
+        report = head.report();
+        begin(head);
+    }
+
+    private void begin(AnswerHead head) {
+        if (head.status() == UNAVAILABLE && head.notRun()) {
+            fail(Kind.REFUSED_NOT_RUN, "status 503, not run");
+        } else if (head.status() >= SERVER_ERROR) {
+            fail(Kind.SERVER_ERROR, "status " + head.status());
+        } else if (head.status() < OK || !head.delimited()) {
+            fail(Kind.BAD_ANSWER, "status " + head.status() + " without an end that can be told");
+        } else if (exchange.call().stream() && head.status() < REDIRECT) {
+            beginStream(head);
+        } else if (resumedAt > 0) {
+            fail(Kind.SERVER_ERROR, "status " + head.status() + " to a resumed stream");
+        } else {
+            reply = new PlainReply(head, io.maxAnswerBytes(), this::whole);
+        }
+    }
+
+    private void beginStream(AnswerHead head) {
+        if (!head.isEventStream()) {
+            fail(Kind.BAD_ANSWER, "the answer is not an event stream");
+            return;
+        }
+        StreamReply.Sink sink = new StreamReply.Sink(
+                t -> exchange.token(dispatch.attempt(), t), this::done, e -> fail(Kind.SERVER_ERROR, e));
+        reply = new StreamReply(resumedAt, sink);
+        io.events().post(new RequestEvent.AnswerStarted(id(), dispatch.attempt(), report));
+    }
+
+    @Override
+    public void onBody(Buffer part) {
+        if (reply == null || isEnded() && !completed) {
+            return;
+        }
+        try {
+            reply.body(part);
+        } catch (BadAnswerException e) {
+            broken(e);
+        }
+    }
+
+    @Override
+    public void onEnd() {
+        if (reply == null || isEnded() && !completed) {
+            return;
+        }
+        try {
+            reply.end();
+            io.keep(connection);
+        } catch (BadAnswerException e) {
+            broken(e);
+        }
+    }
+
+    private void broken(BadAnswerException e) {
+        if (completed) {
+            connection.close();
+            return;
+        }
+        fail(Kind.BAD_ANSWER, e.getMessage());
+    }
+
+    @Override
+    public void onLost(String detail) {
+        fail(Kind.CLOSED, detail);
+    }
+
+    private void whole(WholeAnswer answer) {
+        exchange.whole(dispatch.attempt(), answer);
+        complete(answer.status(), 0, 0);
+    }
+
+    private void done(StreamReply.End end) {
+        exchange.last(dispatch.attempt(), end.event());
+        complete(OK, end.delivered(), end.recomputed());
+        io.expectEnd(connection);
+    }
+
+    private void complete(int status, int delivered, int recomputed) {
+        if (!end()) {
+            return;
+        }
+        completed = true;
+        io.events()
+                .post(new RequestEvent.AnswerCompleted(
+                        id(), dispatch.attempt(), status, delivered, recomputed, report));
+    }
+
+    @Override
+    public void fail(Kind kind, String detail) {
+        Step reached;
+        HttpConnection used;
+        synchronized (this) {
+            reached = step;
+            used = connection;
+        }
+        if (!end()) {
+            return;
+        }
+        exchange.forget(dispatch.attempt());
+        if (used != null) {
+            used.close();
+        }
+        Failure failure =
+                new Failure(reached, kind, dispatch.backend().address().toString(), detail);
+        io.failed(kind);
+        io.events().post(new RequestEvent.AttemptFailed(id(), dispatch.attempt(), failure, report));
+    }
+
+    @Override
+    public synchronized void pauseReading() {
+        if (connection != null) {
+            connection.pauseReading();
+        }
+    }
+
+    @Override
+    public void resumeReading() {
+        HttpConnection used;
+        synchronized (this) {
+            used = connection;
+        }
+        if (used != null) {
+            used.resumeReading();
+        }
+    }
+
+    private RequestId id() {
+        return dispatch.id();
+    }
+
+    private synchronized boolean end() {
+        boolean first = !ended;
+        ended = true;
+        return first;
+    }
+
+    private synchronized boolean isEnded() {
+        return ended;
+    }
+
+    private synchronized void setStreaming() {
+        step = Step.STREAMING;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/EngineEventReader.java
@@ -0,0 +1,95 @@
+package org.fuchsiadeck.node.backend;
+
+import java.io.IOException;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import org.fuchsiadeck.node.exchange.Token;
+
+/**
+ * Reads the JSON of one server-sent event of a model engine.
+ */
+final class EngineEventReader {
+    private static final JsonFactory JSON = new JsonFactory();
+
+    private int index = -1;
+    private String text;
+    private boolean done;
+    private int tokens = -1;
+    private int recomputed;
+    private String error;
+
+    private EngineEventReader() {}
+
+    /**
+     * Reads an event.
+     *
+     * @param event the whole event, byte for byte
+     * @param from where its JSON begins
+     * @param length the length of its JSON
+     * @return what it says
+     * @throws BadAnswerException if the event is none that an engine sends
+     */
+    static EngineEvent read(byte[] event, int from, int length) throws BadAnswerException {
+        EngineEventReader reader = new EngineEventReader();
+        try (JsonParser parser = JSON.createParser(event, from, length)) {
+            reader.readObject(parser);
+        } catch (IOException e) {
+            throw new BadAnswerException("an event is not JSON");
+        }
+        return reader.toEvent(event);
+    }
+
+    private void readObject(JsonParser parser) throws IOException, BadAnswerException {
+        if (parser.nextToken() != JsonToken.START_OBJECT) {
+            throw new BadAnswerException("an event is not a JSON object");
+        }
+        while (parser.nextToken() == JsonToken.FIELD_NAME) {
+            String name = parser.currentName();
+            parser.nextToken();
+            readField(parser, name);
+        }
+        if (parser.currentToken() != JsonToken.END_OBJECT) {
+            throw new BadAnswerException("an event is cut");
+        }
+    }
+
+    private void readField(JsonParser parser, String name) throws IOException {
+        switch (name) {
+            case "i":
+                index = parser.getIntValue();
+                break;
+            case "t":
+                text = parser.getText();
+                break;
+            case "done":
+                done = parser.getBooleanValue();
+                break;
+            case "tokens":
+                tokens = parser.getIntValue();
+                break;
+            case "recomputed_tokens":
+                recomputed = parser.getIntValue();
+                break;
+            case "error":
+                error = parser.getText();
+                break;
+            default:
+                parser.skipChildren();
+        }
+    }
+
+    private EngineEvent toEvent(byte[] event) throws BadAnswerException {
+        if (error != null) {
+            return new EngineEvent.Failed(error);
+        }
+        if (done) {
+            return new EngineEvent.Done(tokens, Math.max(0, recomputed), event);
+        }
+        if (index < 0 || text == null) {
+            throw new BadAnswerException("an event is neither a token nor an end");
+        }
+        return new EngineEvent.Generated(new Token(index, text, event));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/PlainReply.java
@@ -0,0 +1,38 @@
+package org.fuchsiadeck.node.backend;
+
+import java.io.ByteArrayOutputStream;
+import java.util.function.Consumer;
+
+import org.fuchsiadeck.node.exchange.WholeAnswer;
+import org.glassfish.grizzly.Buffer;
+
+/**
+ * Gathers a plain answer whole.
+ */
+final class PlainReply implements Reply {
+    private final AnswerHead head;
+    private final int maxBytes;
+    private final Consumer<WholeAnswer> done;
+    private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+
+    PlainReply(AnswerHead head, int maxBytes, Consumer<WholeAnswer> done) {
+        this.head = head;
+        this.maxBytes = maxBytes;
+        this.done = done;
+    }
+
+    @Override
+    public void body(Buffer part) throws BadAnswerException {
+        byte[] copy = new byte[part.remaining()];
+        part.get(copy);
+        if (bytes.size() + copy.length > maxBytes) {
+            throw new BadAnswerException("the answer is longer than " + maxBytes + " bytes");
+        }
+        bytes.writeBytes(copy);
+    }
+
+    @Override
+    public void end() {
+        done.accept(new WholeAnswer(head.status(), head.contentType(), bytes.toByteArray()));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/RequestWriter.java
@@ -0,0 +1,79 @@
+package org.fuchsiadeck.node.backend;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+import com.fasterxml.jackson.core.json.JsonWriteFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.fuchsiadeck.core.config.Route;
+import org.fuchsiadeck.core.model.Backend;
+import org.fuchsiadeck.core.request.CallerRequest;
+import org.fuchsiadeck.core.request.RequestEffect;
+import org.fuchsiadeck.node.exchange.CallerBody;
+import org.fuchsiadeck.node.exchange.Exchange;
+import org.fuchsiadeck.node.exchange.Journal;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpPacket;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.Protocol;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.MemoryManager;
+
+/**
+ * Writes the request of an attempt.
+ */
+final class RequestWriter {
+    private static final ObjectMapper JSON =
+            JsonMapper.builder().enable(JsonWriteFeature.ESCAPE_NON_ASCII).build();
+    private static final String COMPLETIONS = "/v1/completions";
+
+    private RequestWriter() {}
+
+    /**
+     * Builds the request of an attempt.
+     *
+     * @param exchange the caller's request
+     * @param dispatch the attempt
+     * @param route the request's route; null if the configuration no longer has it
+     * @param journal the tokens delivered before
+     * @return the request, whole
+     */
+    static HttpPacket write(Exchange exchange, RequestEffect.Dispatch dispatch, Route route, Journal journal) {
+        CallerRequest call = exchange.call();
+        CallerBody body = exchange.body();
+        boolean engine = dispatch.backend().kind() == Backend.Kind.ENGINE;
+        byte[] bytes = journal.tokens() > 0 ? resumed(body.bytes(), journal) : body.bytes();
+        HttpRequestPacket.Builder head = HttpRequestPacket.builder()
+                .method(call.method())
+                .uri(engine ? COMPLETIONS : body.uri())
+                .protocol(Protocol.HTTP_1_1)
+                .header("Host", dispatch.backend().address().toString())
+                .header(Headers.REQUEST_ID, dispatch.id().value())
+                .header(Headers.ATTEMPT, String.valueOf(dispatch.attempt()))
+                .header(Headers.DEADLINE_MS, String.valueOf(dispatch.deadlineMs()));
+        body.contentType().ifPresent(t -> head.header("Content-Type", t));
+        call.idempotencyKey().ifPresent(k -> head.header(Headers.IDEMPOTENCY_KEY, k));
+        if (route != null) {
+            head.header(Headers.ROUTE, route.name()).header(Headers.PRIORITY, String.valueOf(route.priority()));
+        }
+        if (bytes.length == 0 && call.method().equals("GET")) {
+            return HttpContent.builder(head.build()).last(true).build();
+        }
+        return HttpContent.builder(head.contentLength(bytes.length).build())
+                .content(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, bytes))
+                .last(true)
+                .build();
+    }
+
+    private static byte[] resumed(byte[] body, Journal journal) {
+        try {
+            ObjectNode json = (ObjectNode) JSON.readTree(body);
+            json.putObject("resume").put("text", journal.text()).put("tokens", journal.tokens());
+            return JSON.writeValueAsBytes(json);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/StreamReply.java
@@ -0,0 +1,97 @@
+package org.fuchsiadeck.node.backend;
+
+import java.util.function.Consumer;
+
+import org.fuchsiadeck.node.exchange.Token;
+import org.glassfish.grizzly.Buffer;
+
+/**
+ * Reads a model engine's stream and checks that its tokens follow each other.
+ */
+final class StreamReply implements Reply {
+    private static final int NONE = -1;
+
+    private final int resumedAt;
+    private final Sink sink;
+    private final EventSplitter splitter = new EventSplitter(this::take);
+    private int next = NONE;
+    private boolean done;
+
+    /**
+     * Creates a reader.
+     *
+     * @param resumedAt tokens that were delivered before the attempt
+     * @param sink takes what comes
+     */
+    StreamReply(int resumedAt, Sink sink) {
+        this.resumedAt = resumedAt;
+        this.sink = sink;
+    }
+
+    /**
+     * Where the parts of a stream go.
+     *
+     * @param token takes each token, in order
+     * @param done takes the end of a whole answer
+     * @param failed takes the engine's word for a failure
+     */
+    record Sink(Consumer<Token> token, Consumer<End> done, Consumer<String> failed) {}
+
+    /**
+     * The end of a whole stream.
+     *
+     * @param delivered tokens in the whole answer
+     * @param recomputed tokens the engine computed again
+     * @param event the event, byte for byte
+     */
+    record End(int delivered, int recomputed, byte[] event) {}
+
+    @Override
+    public void body(Buffer part) throws BadAnswerException {
+        splitter.feed(part);
+    }
+
+    @Override
+    public void end() throws BadAnswerException {
+        if (!done) {
+            throw new BadAnswerException(splitter.isCut() ? "the stream ends amid an event" : "the stream was cut");
+        }
+    }
+
+    private void take(byte[] event, int from, int length) throws BadAnswerException {
+        if (done) {
+            throw new BadAnswerException("an event came after the end");
+        }
+        EngineEvent read = EngineEventReader.read(event, from, length);
+        if (read instanceof EngineEvent.Generated generated) {
+            token(generated.token());
+        } else if (read instanceof EngineEvent.Done end) {
+            end(end);
+        } else if (read instanceof EngineEvent.Failed failed) {
+            done = true;
+            sink.failed().accept(failed.error());
+        }
+    }
+
+    private void token(Token token) throws BadAnswerException {
+        boolean first = next == NONE;
+        if (first ? token.index() > resumedAt : token.index() != next) {
+            throw new BadAnswerException(
+                    "token " + token.index() + " came where " + (first ? resumedAt : next) + " was due");
+        }
+        next = token.index() + 1;
+        if (token.index() >= resumedAt) {
+            sink.token().accept(token);
+        }
+    }
+
+    private void end(EngineEvent.Done end) throws BadAnswerException {
+        int count = Math.max(next, resumedAt);
+        boolean counted = end.tokens() < 0 || end.tokens() == count || end.tokens() == count - resumedAt;
+        if (!counted || next != NONE && next < resumedAt) {
+            throw new BadAnswerException("the engine counts " + end.tokens() + " tokens where " + count + " came");
+        }
+        done = true;
+        sink.done().accept(new End(count, end.recomputed(), end.event()));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiadeck/node/client/AnswerFilter.java
@@ -0,0 +1,35 @@
+package org.fuchsiadeck.node.client;
+
+import java.io.IOException;
+
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.http.HttpContent;
+
+/**
+ * Hands the parsed answers to their connections.
+ */
+final class AnswerFilter extends BaseFilter {
+    @Override
+    public NextAction handleRead(FilterChainContext ctx) throws IOException {
+        HttpContent content = ctx.getMessage();
+        HttpConnection connection = HttpConnection.find(ctx.getConnection());
+        if (connection == null || HttpContent.isBroken(content)) {
+            ctx.getConnection().closeSilently();
+            return ctx.getStopAction();
+        }
+        connection.received(content);
+        content.recycle();
+        return connection.suspendIfPaused(ctx);
+    }
+
+    @Override
+    public NextAction handleClose(FilterChainContext ctx) {
+        HttpConnection connection = HttpConnection.find(ctx.getConnection());
+        if (connection != null) {
+            connection.closed();
+        }
+        return ctx.getInvokeAction();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiadeck/node/client/HttpClient.java
@@ -0,0 +1,95 @@
+package org.fuchsiadeck.node.client;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+
+import org.fuchsiadeck.core.model.Address;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.filterchain.FilterChain;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.http.HttpClientFilter;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+
+/**
+ * Opens connections to HTTP servers over one shared transport.
+ */
+public final class HttpClient implements AutoCloseable {
+    private static final int CONNECT_TIMEOUT_MS = 10_000;
+    private static final int MAX_SELECTORS = 4;
+    private static final int MAX_HEAD_BYTES = 16 << 10;
+    private static final int READ_BUFFER_BYTES = 16 << 10;
+    private static final int UNLIMITED = -1;
+
+    private final TCPNIOTransport transport;
+    private final TCPNIOConnectorHandler connector;
+
+    private HttpClient(TCPNIOTransport transport, FilterChain chain) {
+        this.transport = transport;
+        this.connector =
+                TCPNIOConnectorHandler.builder(transport).processor(chain).build();
+    }
+
+    /**
+     * Starts a client.
+     *
+     * @return the client
+     * @throws IOException if the transport can't start
+     */
+    public static HttpClient start() throws IOException {
+        TCPNIOTransport transport = TCPNIOTransportBuilder.newInstance()
+                .setName("client")
+                .setIOStrategy(SameThreadIOStrategy.getInstance())
+                .setSelectorRunnersCount(
+                        Math.min(MAX_SELECTORS, Runtime.getRuntime().availableProcessors()))
+                .setReadBufferSize(READ_BUFFER_BYTES)
+                .setTcpNoDelay(true)
+                .setConnectionTimeout(CONNECT_TIMEOUT_MS)
+                .setMaxAsyncWriteQueueSizeInBytes(UNLIMITED)
+                .build();
+        FilterChain chain = FilterChainBuilder.stateless()
+                .add(new TransportFilter())
+                .add(new HttpClientFilter(MAX_HEAD_BYTES))
+                .add(new AnswerFilter())
+                .build();
+        transport.start();
+        return new HttpClient(transport, chain);
+    }
+
+    /**
+     * Opens a connection. Returns at once.
+     *
+     * @param address the server
+     * @param handler takes the connection, or the failure
+     */
+    public void connect(Address address, ConnectHandler handler) {
+        InetSocketAddress target = new InetSocketAddress(address.host(), address.port());
+        connector.connect(target, new EmptyCompletionHandler<>() {
+            @Override
+            @SuppressWarnings({"rawtypes", "unchecked"})
+            public void completed(Connection connection) {
+                handler.connected(HttpConnection.of(connection, address));
+            }
+
+            @Override
+            public void failed(Throwable error) {
+                handler.failed(String.valueOf(error.getMessage()));
+            }
+
+            @Override
+            public void cancelled() {
+                handler.failed("cancelled");
+            }
+        });
+    }
+
+    /** Closes all connections. */
+    @Override
+    public void close() throws IOException {
+        transport.shutdownNow();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiadeck/node/client/PlainCall.java
@@ -0,0 +1,141 @@
+package org.fuchsiadeck.node.client;
+
+import java.io.ByteArrayOutputStream;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import io.vavr.control.Either;
+import org.fuchsiadeck.core.model.Address;
+import org.glassfish.grizzly.Buffer;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpPacket;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.Protocol;
+
+/**
+ * One plain {@code GET} over a connection of its own.
+ */
+public final class PlainCall implements ConnectHandler, AnswerListener {
+    private static final int OK = 200;
+
+    private final Address address;
+    private final String uri;
+    private final int maxBytes;
+    private final Consumer<Either<String, byte[]>> result;
+    private final long startedNanos = System.nanoTime();
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private HttpConnection connection;
+    private boolean ended;
+
+    private PlainCall(Address address, String uri, int maxBytes, Consumer<Either<String, byte[]>> result) {
+        this.address = address;
+        this.uri = uri;
+        this.maxBytes = maxBytes;
+        this.result = result;
+    }
+
+    /**
+     * Starts a call.
+     *
+     * @param client makes the connection
+     * @param address the server
+     * @param uri the path and query
+     * @param maxBytes the longest answer, in bytes
+     * @param result takes the body of an answer with status 200, or what was seen instead; called once
+     * @return the call
+     */
+    public static PlainCall get(
+            HttpClient client, Address address, String uri, int maxBytes, Consumer<Either<String, byte[]>> result) {
+        PlainCall call = new PlainCall(address, uri, maxBytes, result);
+        client.connect(address, call);
+        return call;
+    }
+
+    /**
+     * Returns the time since the call began.
+     *
+     * @return the age, in milliseconds
+     */
+    public long ageMs() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos);
+    }
+
+    /**
+     * Gives up the call.
+     *
+     * @param detail why
+     */
+    public void cancel(String detail) {
+        end(Either.left(detail));
+    }
+
+    @Override
+    public void connected(HttpConnection opened) {
+        synchronized (this) {
+            connection = opened;
+            if (ended) {
+                opened.close();
+                return;
+            }
+        }
+        HttpRequestPacket head = HttpRequestPacket.builder()
+                .method("GET")
+                .uri(uri)
+                .protocol(Protocol.HTTP_1_1)
+                .header("Host", address.toString())
+                .header("Connection", "close")
+                .build();
+        HttpPacket request = HttpContent.builder(head).last(true).build();
+        opened.send(request, this);
+    }
+
+    @Override
+    public void failed(String detail) {
+        end(Either.left(detail));
+    }
+
+    @Override
+    public void onHead(HttpResponsePacket head) {
+        boolean delimited = head.isChunked() || head.getContentLength() >= 0;
+        if (head.getStatus() != OK || !delimited) {
+            end(Either.left("status " + head.getStatus()));
+        }
+    }
+
+    @Override
+    public void onBody(Buffer part) {
+        byte[] copy = new byte[part.remaining()];
+        part.get(copy);
+        if (body.size() + copy.length > maxBytes) {
+            end(Either.left("the answer is longer than " + maxBytes + " bytes"));
+            return;
+        }
+        body.writeBytes(copy);
+    }
+
+    @Override
+    public void onEnd() {
+        end(Either.right(body.toByteArray()));
+    }
+
+    @Override
+    public void onLost(String detail) {
+        end(Either.left(detail));
+    }
+
+    private void end(Either<String, byte[]> outcome) {
+        HttpConnection used;
+        synchronized (this) {
+            if (ended) {
+                return;
+            }
+            ended = true;
+            used = connection;
+        }
+        if (used != null) {
+            used.close();
+        }
+        result.accept(outcome);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiadeck/node/exchange/CallerChannel.java
@@ -0,0 +1,55 @@
+package org.fuchsiadeck.node.exchange;
+
+/**
+ * The way back to a caller. The first of {@link #answer}, {@link #end}, {@link #refuse} and {@link #abort} is final;
+ * later calls do nothing. No call waits.
+ */
+public interface CallerChannel {
+    /**
+     * Sends a whole plain answer.
+     *
+     * @param answer the answer
+     */
+    void answer(WholeAnswer answer);
+
+    /** Sends the head of a stream, unless it was sent before. */
+    void startStream();
+
+    /**
+     * Sends a server-sent event.
+     *
+     * @param event the event, byte for byte
+     */
+    void send(byte[] event);
+
+    /**
+     * Sends the last event of a whole stream.
+     *
+     * @param event the event, byte for byte
+     */
+    void end(byte[] event);
+
+    /**
+     * Sends a final answer of the node's own; within a stream, as its last event.
+     *
+     * @param refusal the answer
+     */
+    void refuse(Refusal refusal);
+
+    /** Closes the connection without a final answer, so that the caller sees that the answer is not whole. */
+    void abort();
+
+    /**
+     * Tells whether more bytes wait for the caller than should be kept.
+     *
+     * @return whether the source should stop for now
+     */
+    boolean full();
+
+    /**
+     * Sets what to run when the channel is no longer full.
+     *
+     * @param action what to run; must not wait
+     */
+    void onDrained(Runnable action);
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiadeck/node/front/BodyReader.java
@@ -0,0 +1,70 @@
+package org.fuchsiadeck.node.front;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.function.Consumer;
+
+import org.fuchsiadeck.node.exchange.Refusal;
+import org.glassfish.grizzly.ReadHandler;
+import org.glassfish.grizzly.http.io.NIOInputStream;
+
+/**
+ * Reads the body of a caller's request as it comes, up to a limit.
+ */
+final class BodyReader implements ReadHandler {
+    private static final int BAD_REQUEST = 400;
+    private static final int TOO_LARGE = 413;
+
+    private final NIOInputStream in;
+    private final long maxBytes;
+    private final Consumer<byte[]> whole;
+    private final Consumer<Refusal> broken;
+    private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+
+    BodyReader(NIOInputStream in, long maxBytes, Consumer<byte[]> whole, Consumer<Refusal> broken) {
+        this.in = in;
+        this.maxBytes = maxBytes;
+        this.whole = whole;
+        this.broken = broken;
+    }
+
+    static Refusal tooLarge(long maxBytes) {
+        return Refusal.notRun(TOO_LARGE, "body_too_large", "The body is longer than " + maxBytes + " bytes.");
+    }
+
+    /** Starts to read. */
+    void start() {
+        in.notifyAvailable(this);
+    }
+
+    @Override
+    public void onDataAvailable() throws IOException {
+        if (take()) {
+            in.notifyAvailable(this);
+        }
+    }
+
+    @Override
+    public void onAllDataRead() throws IOException {
+        if (take()) {
+            whole.accept(bytes.toByteArray());
+        }
+    }
+
+    @Override
+    public void onError(Throwable error) {
+        broken.accept(Refusal.notRun(BAD_REQUEST, "bad_body", "The body could not be read."));
+    }
+
+    private boolean take() throws IOException {
+        int available = in.readyData();
+        if (bytes.size() + (long) available > maxBytes) {
+            broken.accept(tooLarge(maxBytes));
+            return false;
+        }
+        byte[] part = new byte[available];
+        int read = available == 0 ? 0 : in.read(part);
+        bytes.write(part, 0, Math.max(0, read));
+        return true;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerCodec.java
@@ -0,0 +1,71 @@
+package org.fuchsiadeck.node.front;
+
+import java.io.IOException;
+
+import org.fuchsiadeck.node.exchange.Refusal;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpHeader;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.HttpServerFilter;
+import org.glassfish.grizzly.http.KeepAlive;
+import org.glassfish.grizzly.http.util.HttpStatus;
+import org.glassfish.grizzly.http.util.MimeHeaders;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.MemoryManager;
+
+/**
+ * Parses HTTP, and refuses what it can't parse in the form of the node's other refusals.
+ */
+final class CallerCodec extends HttpServerFilter {
+    private static final int TOO_LARGE = 431;
+    private static final long MAX_SKIPPED_BYTES = 1 << 20;
+
+    private final RequestIds ids;
+
+    CallerCodec(int maxHeadBytes, KeepAlive keepAlive, RequestIds ids) {
+        super(
+                true,
+                maxHeadBytes,
+                null,
+                keepAlive,
+                null,
+                MimeHeaders.MAX_NUM_HEADERS_DEFAULT,
+                MimeHeaders.MAX_NUM_HEADERS_DEFAULT);
+        this.ids = ids;
+        setMaxPayloadRemainderToSkip(MAX_SKIPPED_BYTES);
+    }
+
+    @Override
+    protected void onHttpHeaderError(HttpHeader header, FilterChainContext ctx, Throwable error) throws IOException {
+        boolean large = String.valueOf(error.getMessage()).contains("too large")
+                || error instanceof MimeHeaders.MaxHeaderCountExceededException;
+        if (large) {
+            HttpResponsePacket response = ((HttpRequestPacket) header).getResponse();
+            HttpStatus.newHttpStatus(TOO_LARGE, "Request Header Fields Too Large")
+                    .setValues(response);
+        }
+        super.onHttpHeaderError(header, ctx, error);
+    }
+
+    @Override
+    protected HttpContent customizeErrorResponse(HttpResponsePacket response) {
+        String id = ids.next().value();
+        boolean large = response.getStatus() == TOO_LARGE;
+        Refusal refusal = Refusal.notRun(
+                response.getStatus(),
+                large ? "headers_too_large" : "bad_request",
+                large ? "The headers are too large." : "The request is not valid HTTP.");
+        byte[] body = RefusalWriter.json(refusal, id);
+        response.setContentType("application/json");
+        response.setContentLength(body.length);
+        response.setHeader(CallerHeaders.REQUEST_ID, id);
+        response.setHeader("X-Outcome", RefusalWriter.name(refusal.outcome()));
+        response.setHeader("Connection", "close");
+        return HttpContent.builder(response)
+                .content(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, body))
+                .last(true)
+                .build();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerConnection.java
@@ -0,0 +1,158 @@
+package org.fuchsiadeck.node.front;
+
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.concurrent.TimeUnit;
+
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.IOEvent;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.nio.NIOConnection;
+import org.glassfish.grizzly.nio.NIOTransport;
+
+/**
+ * What the front keeps of a caller's connection. While a request waits for its answer, the connection is read all the
+ * same, so that a caller who leaves is noticed; what a caller sends ahead is held until the answer is written.
+ */
+final class CallerConnection {
+    private static final Attribute<CallerConnection> ATTRIBUTE =
+            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute(CallerConnection.class.getName());
+
+    /** What the connection waits for. */
+    private enum Phase {
+        IDLE,
+        READING,
+        ANSWERING
+    }
+
+    private final Connection<?> connection;
+    private final Queue<FilterChainContext> ahead = new ArrayDeque<>();
+    private Phase phase = Phase.IDLE;
+    private long sinceNanos = System.nanoTime();
+    private CallerResponse response;
+    private Runnable onGone = () -> {};
+    private Runnable onSlow;
+
+    private CallerConnection(Connection<?> connection) {
+        this.connection = connection;
+    }
+
+    static CallerConnection of(Connection<?> connection) {
+        CallerConnection found = ATTRIBUTE.get(connection);
+        if (found == null) {
+            found = new CallerConnection(connection);
+            ATTRIBUTE.set(connection, found);
+        }
+        return found;
+    }
+
+    /** Notes that bytes came. Returns whether they are held back. */
+    synchronized boolean holdBack(FilterChainContext ctx) {
+        if (phase == Phase.ANSWERING || !ahead.isEmpty() && ahead.peek() != ctx) {
+            ahead.add(ctx);
+            return true;
+        }
+        ahead.poll();
+        if (phase == Phase.IDLE) {
+            phase = Phase.READING;
+            sinceNanos = System.nanoTime();
+        }
+        return false;
+    }
+
+    /** Notes that the head of a request was read. */
+    synchronized void begin(CallerResponse started, Runnable slow) {
+        response = started;
+        onSlow = slow;
+        phase = Phase.READING;
+    }
+
+    /** Notes that the request is whole; from now on its caller is watched. */
+    void answering(Runnable gone) throws IOException {
+        synchronized (this) {
+            phase = Phase.ANSWERING;
+            onGone = gone;
+            onSlow = null;
+        }
+        connection.enableIOEvent(IOEvent.READ);
+    }
+
+    /** Notes that the answer was written. */
+    void answered() {
+        NIOConnection nio = (NIOConnection) connection;
+        NIOTransport transport = (NIOTransport) nio.getTransport();
+        transport.getSelectorHandler().enque(nio.getSelectorRunner(), this::next, null);
+    }
+
+    private boolean next() {
+        synchronized (this) {
+            response = null;
+            onGone = () -> {};
+            onSlow = null;
+            phase = Phase.IDLE;
+            sinceNanos = System.nanoTime();
+        }
+        for (FilterChainContext held = firstHeld(); held != null; held = firstHeld()) {
+            held.resume();
+        }
+        return true;
+    }
+
+    private synchronized FilterChainContext firstHeld() {
+        return phase == Phase.ANSWERING ? null : ahead.peek();
+    }
+
+    /** Notes that the connection has closed. */
+    void closed() {
+        CallerResponse open;
+        Runnable gone;
+        synchronized (this) {
+            open = response;
+            gone = onGone;
+            response = null;
+            onGone = () -> {};
+            ahead.clear();
+        }
+        if (open == null) {
+            return;
+        }
+        boolean answered = open.isEnding();
+        open.gone();
+        if (!answered) {
+            gone.run();
+        }
+    }
+
+    /** Tells whether a request on the connection has not had the last byte of its answer. */
+    synchronized boolean isUnfinished() {
+        return response != null;
+    }
+
+    /** Gives up a caller that sends or takes nothing for too long. */
+    void sweep(long slowMs, long idleMs) {
+        Runnable slow;
+        boolean close;
+        synchronized (this) {
+            long waitedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sinceNanos);
+            slow = phase == Phase.READING && waitedMs > slowMs ? onSlow : null;
+            close = slow == null && isStalled(waitedMs, slowMs, idleMs);
+        }
+        if (slow != null) {
+            slow.run();
+        }
+        if (close) {
+            connection.closeSilently();
+        }
+    }
+
+    private boolean isStalled(long waitedMs, long slowMs, long idleMs) {
+        return switch (phase) {
+            case IDLE -> waitedMs > idleMs;
+            case READING -> waitedMs > slowMs;
+            case ANSWERING -> response != null && response.blockedMs() > slowMs;
+        };
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerHandler.java
@@ -0,0 +1,200 @@
+package org.fuchsiadeck.node.front;
+
+import java.io.IOException;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.MetricRegistry;
+import org.fuchsiadeck.core.Effect;
+import org.fuchsiadeck.core.EventCode;
+import org.fuchsiadeck.core.config.Configuration;
+import org.fuchsiadeck.core.config.Route;
+import org.fuchsiadeck.core.model.Backend;
+import org.fuchsiadeck.core.model.RequestId;
+import org.fuchsiadeck.core.model.TeamId;
+import org.fuchsiadeck.core.request.CallerRequest;
+import org.fuchsiadeck.core.request.RequestEffect.Outcome;
+import org.fuchsiadeck.core.request.RequestEvent;
+import org.fuchsiadeck.node.exchange.CallerBody;
+import org.fuchsiadeck.node.exchange.Exchange;
+import org.fuchsiadeck.node.exchange.Exchanges;
+import org.fuchsiadeck.node.exchange.Refusal;
+import org.fuchsiadeck.node.run.EffectHandler;
+import org.fuchsiadeck.node.run.EventSink;
+import org.glassfish.grizzly.http.server.HttpHandler;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.RequestExecutorProvider;
+import org.glassfish.grizzly.http.server.Response;
+
+/**
+ * Takes callers' requests: reads and checks them, and hands them to the decisions.
+ */
+final class CallerHandler extends HttpHandler {
+    private static final int METHOD_NOT_ALLOWED = 405;
+    private static final int REQUEST_TIMEOUT = 408;
+    private static final int UNSUPPORTED_MEDIA_TYPE = 415;
+    private static final int UNAVAILABLE = 503;
+    private static final long RETRY_AFTER_MS = 1_000;
+
+    private final RequestIds ids;
+    private final Exchanges exchanges;
+    private final EventSink events;
+    private final Supplier<Configuration> configuration;
+    private final EffectHandler<Effect.Log> log;
+    private final MetricRegistry metrics;
+    private final Executor pump;
+    private final BooleanSupplier draining;
+    private final long maxBodyBytes;
+
+    CallerHandler(Front front, RequestIds ids, Executor pump, BooleanSupplier draining) {
+        this.ids = ids;
+        this.exchanges = front.exchanges();
+        this.events = front.events();
+        this.configuration = front.configuration();
+        this.log = front.log();
+        this.metrics = front.metrics();
+        this.pump = pump;
+        this.draining = draining;
+        this.maxBodyBytes = front.limits().maxBodyBytes();
+        setDecodeUrl(false);
+    }
+
+    @Override
+    public RequestExecutorProvider getRequestExecutorProvider() {
+        return new RequestExecutorProvider.SameThreadProvider();
+    }
+
+    @Override
+    public void service(Request request, Response response) {
+        metrics.meter("front.requests").mark();
+        RequestId id = ids.next();
+        BadCallException bad = null;
+        try {
+            id = CallerHeaders.requestId(request).orElse(id);
+        } catch (BadCallException e) {
+            bad = e;
+        }
+        response.suspend();
+        CallerConnection connection = CallerConnection.of(request.getContext().getConnection());
+        CallerResponse answer =
+                new CallerResponse(response, request.getContext().getConnection(), id, pump, draining);
+        connection.begin(answer, () -> refuse(answer, slow(), true));
+        request.addAfterServiceListener(r -> connection.answered());
+        if (bad != null) {
+            refuse(answer, bad.refusal(), true);
+            return;
+        }
+        try {
+            read(request, new Call(id, answer, connection));
+        } catch (BadCallException e) {
+            refuse(answer, e.refusal(), true);
+        }
+    }
+
+    private record Call(RequestId id, CallerResponse answer, CallerConnection connection) {}
+
+    private void read(Request request, Call call) throws BadCallException {
+        String path = request.getRequestURI();
+        String method = request.getMethod().getMethodString();
+        Configuration config = configuration.get();
+        Optional<Route> route = config.route(method, path);
+        checkMethod(config, route, path);
+        checkContentType(route, request);
+        TeamId team = CallerHeaders.team(request);
+        Optional<String> key = CallerHeaders.idempotencyKey(request);
+        long limit = Math.min(maxBodyBytes, route.map(Route::maxBodyBytes).orElse(maxBodyBytes));
+        if (request.getContentLengthLong() > limit) {
+            refuse(call.answer(), BodyReader.tooLarge(limit), true);
+            return;
+        }
+        String query = request.getQueryString();
+        String uri = query == null ? path : path + "?" + query;
+        Optional<String> contentType = Optional.ofNullable(request.getContentType());
+        boolean engine = route.filter(r -> r.kind() == Backend.Kind.ENGINE).isPresent();
+        BodyReader reader = new BodyReader(
+                request.getNIOInputStream(),
+                limit,
+                bytes -> {
+                    Head head = new Head(method, path, team, key, engine);
+                    arrived(call, head, new CallerBody(uri, contentType, bytes));
+                },
+                refusal -> refuse(call.answer(), refusal, true));
+        reader.start();
+    }
+
+    private record Head(String method, String path, TeamId team, Optional<String> key, boolean engine) {}
+
+    private void arrived(Call call, Head head, CallerBody body) {
+        try {
+            CallerRequest request = parse(head, body);
+            accept(call, request, body);
+        } catch (BadCallException e) {
+            refuse(call.answer(), e.refusal(), false);
+        } catch (IOException e) {
+            call.answer().abort();
+        }
+    }
+
+    private static CallerRequest parse(Head head, CallerBody body) throws BadCallException {
+        int length = body.bytes().length;
+        if (!head.engine()) {
+            return new CallerRequest(
+                    head.method(), head.path(), head.team(), head.key(), length, false, Optional.empty());
+        }
+        CompletionReader read = CompletionReader.read(body.bytes());
+        return new CallerRequest(
+                head.method(),
+                head.path(),
+                head.team(),
+                head.key(),
+                length,
+                read.stream(),
+                Optional.of(read.completion()));
+    }
+
+    private void accept(Call call, CallerRequest request, CallerBody body) throws IOException {
+        RequestId id = call.id();
+        Exchange exchange = new Exchange(id, request, body, call.answer(), events);
+        if (!exchanges.add(exchange)) {
+            refuse(call.answer(), busy("request_id_in_use", "A request with this id is in progress."), false);
+            return;
+        }
+        call.connection().answering(() -> events.post(new RequestEvent.CallerGone(id)));
+        if (!events.offer(new RequestEvent.Arrived(id, request))) {
+            call.answer().refuse(busy("overloaded", "The node has too much to do."), false);
+            exchanges.release(id);
+        }
+    }
+
+    private void refuse(CallerResponse answer, Refusal refusal, boolean close) {
+        metrics.counter("front.refused." + refusal.reason()).inc();
+        log.handle(new Effect.Log(EventCode.BAD_REQUEST, refusal.status() + " " + refusal.reason()));
+        answer.refuse(refusal, close);
+    }
+
+    private static void checkMethod(Configuration config, Optional<Route> route, String path) throws BadCallException {
+        boolean otherMethod = route.isEmpty() && config.routes().stream().anyMatch(r -> r.matches(r.method(), path));
+        if (otherMethod) {
+            throw new BadCallException(METHOD_NOT_ALLOWED, "method_not_allowed", "The path does not take this method.");
+        }
+    }
+
+    private static void checkContentType(Optional<Route> route, Request request) throws BadCallException {
+        boolean engine = route.filter(r -> r.kind() == Backend.Kind.ENGINE).isPresent();
+        String type = request.getContentType();
+        if (engine && type != null && !type.startsWith("application/json")) {
+            throw new BadCallException(
+                    UNSUPPORTED_MEDIA_TYPE, "unsupported_media_type", "The body must be application/json.");
+        }
+    }
+
+    private static Refusal busy(String reason, String detail) {
+        return new Refusal(Outcome.NOT_RUN, UNAVAILABLE, RETRY_AFTER_MS, reason, detail);
+    }
+
+    private static Refusal slow() {
+        return Refusal.notRun(REQUEST_TIMEOUT, "slow_sender", "The request did not come in time.");
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerResponse.java
@@ -0,0 +1,265 @@
+package org.fuchsiadeck.node.front;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+import org.fuchsiadeck.core.model.RequestId;
+import org.fuchsiadeck.node.exchange.CallerChannel;
+import org.fuchsiadeck.node.exchange.Refusal;
+import org.fuchsiadeck.node.exchange.WholeAnswer;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.WriteHandler;
+import org.glassfish.grizzly.http.io.NIOOutputStream;
+import org.glassfish.grizzly.http.server.Response;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.MemoryManager;
+
+/**
+ * Writes the answer to one caller. Bytes wait here until the connection takes them; a pump moves them in batches, so
+ * that no source of bytes waits for the caller.
+ */
+final class CallerResponse implements CallerChannel {
+    private static final int FULL_BYTES = 64 << 10;
+    private static final int DRAINED_BYTES = FULL_BYTES / 2;
+    private static final int OK = 200;
+
+    private final Response response;
+    private final Connection<?> connection;
+    private final RequestId id;
+    private final Executor pump;
+    private final BooleanSupplier draining;
+    private ByteArrayOutputStream waiting = new ByteArrayOutputStream();
+    private Head head;
+    private boolean headWritten;
+    private boolean ending;
+    private boolean finished;
+    private boolean scheduled;
+    private boolean wasFull;
+    private long blockedNanos;
+    private Runnable drained = () -> {};
+
+    /**
+     * Creates the way back to a caller. The response must be suspended.
+     *
+     * @param response the response
+     * @param connection the caller's connection
+     * @param id the request's id
+     * @param pump runs the writes
+     * @param draining whether to close the connection after the answer
+     */
+    CallerResponse(Response response, Connection<?> connection, RequestId id, Executor pump, BooleanSupplier draining) {
+        this.response = response;
+        this.connection = connection;
+        this.id = id;
+        this.pump = pump;
+        this.draining = draining;
+    }
+
+    private record Head(int status, String contentType, Refusal refusal, boolean close) {}
+
+    @Override
+    public synchronized void answer(WholeAnswer answer) {
+        if (head == null && !ending) {
+            head = new Head(answer.status(), answer.contentType().orElse(null), null, false);
+            finish(answer.bytes());
+        }
+    }
+
+    @Override
+    public synchronized void startStream() {
+        if (head == null && !ending) {
+            head = new Head(OK, "text/event-stream", null, false);
+            schedule();
+        }
+    }
+
+    @Override
+    public synchronized void send(byte[] event) {
+        if (ending) {
+            return;
+        }
+        waiting.writeBytes(event);
+        wasFull = wasFull || waiting.size() > FULL_BYTES;
+        schedule();
+    }
+
+    @Override
+    public synchronized void end(byte[] event) {
+        if (!ending) {
+            startStream();
+            finish(event);
+        }
+    }
+
+    @Override
+    public void refuse(Refusal refusal) {
+        refuse(refusal, false);
+    }
+
+    /**
+     * Gives a final answer of the node's own.
+     *
+     * @param refusal the answer
+     * @param close whether to close the connection after it, since the request was not read to its end
+     */
+    synchronized void refuse(Refusal refusal, boolean close) {
+        if (ending) {
+            return;
+        }
+        if (head != null) {
+            finish(RefusalWriter.event(refusal, id.value()));
+            return;
+        }
+        head = new Head(refusal.status(), "application/json", refusal, close);
+        finish(RefusalWriter.json(refusal, id.value()));
+    }
+
+    @Override
+    public void abort() {
+        synchronized (this) {
+            if (ending) {
+                return;
+            }
+            ending = true;
+            finished = true;
+        }
+        connection.closeSilently();
+    }
+
+    @Override
+    public synchronized boolean full() {
+        return waiting.size() > FULL_BYTES;
+    }
+
+    @Override
+    public synchronized void onDrained(Runnable action) {
+        drained = action;
+    }
+
+    /** Notes that the connection has closed. */
+    synchronized void gone() {
+        ending = true;
+        finished = true;
+        waiting = new ByteArrayOutputStream();
+    }
+
+    /** Tells whether a final answer was given, though it may not be written yet. */
+    synchronized boolean isEnding() {
+        return ending;
+    }
+
+    /** Returns for how long the caller has taken no bytes, in milliseconds; 0 if none wait. */
+    synchronized long blockedMs() {
+        return blockedNanos == 0 ? 0 : TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - blockedNanos);
+    }
+
+    private void finish(byte[] last) {
+        waiting.writeBytes(last);
+        ending = true;
+        schedule();
+    }
+
+    private void schedule() {
+        if (!scheduled && !finished) {
+            scheduled = true;
+            pump.execute(this::pump);
+        }
+    }
+
+    private void pump() {
+        try {
+            while (pumpOnce()) {
+                runDrained();
+            }
+        } catch (IOException | RuntimeException e) {
+            connection.closeSilently();
+        }
+        runDrained();
+    }
+
+    private boolean pumpOnce() throws IOException {
+        NIOOutputStream out = response.getNIOOutputStream();
+        byte[] batch;
+        boolean last;
+        boolean first;
+        synchronized (this) {
+            if (finished || waiting.size() == 0 && !ending && headWritten) {
+                scheduled = false;
+                return false;
+            }
+            if (!out.canWrite()) {
+                blockedNanos = System.nanoTime();
+                out.notifyCanWrite(new Resume());
+                return false;
+            }
+            blockedNanos = 0;
+            batch = waiting.toByteArray();
+            waiting.reset();
+            last = ending;
+            finished = last;
+            first = !headWritten;
+            headWritten = true;
+        }
+        if (first) {
+            writeHead(last ? batch.length : -1);
+        }
+        out.write(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, batch));
+        if (last) {
+            response.resume();
+            return false;
+        }
+        out.flush();
+        return true;
+    }
+
+    private void writeHead(int length) {
+        response.setStatus(head.status());
+        response.setHeader(CallerHeaders.REQUEST_ID, id.value());
+        if (head.contentType() != null) {
+            response.setContentType(head.contentType());
+        }
+        if (length >= 0) {
+            response.setContentLength(length);
+        }
+        if (head.close() || draining.getAsBoolean()) {
+            response.setHeader("Connection", "close");
+        }
+        if (head.refusal() != null) {
+            writeOutcome(head.refusal());
+        }
+    }
+
+    private void writeOutcome(Refusal refusal) {
+        response.setHeader("X-Outcome", RefusalWriter.name(refusal.outcome()));
+        if (refusal.retryAfterMs() > 0) {
+            response.setHeader("Retry-After", RefusalWriter.retryAfter(refusal));
+        }
+    }
+
+    private void runDrained() {
+        Runnable action;
+        synchronized (this) {
+            if (!wasFull || waiting.size() > DRAINED_BYTES) {
+                return;
+            }
+            wasFull = false;
+            action = drained;
+        }
+        action.run();
+    }
+
+    private final class Resume implements WriteHandler {
+        @Override
+        public void onWritePossible() {
+            pump.execute(CallerResponse.this::pump);
+        }
+
+        @Override
+        public void onError(Throwable error) {
+            connection.closeSilently();
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiadeck/node/front/ConnectionGuard.java
@@ -0,0 +1,76 @@
+package org.fuchsiadeck.node.front;
+
+import java.io.IOException;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+
+/**
+ * Watches the callers' connections beneath HTTP: limits their number, and notices those that close or stall.
+ */
+final class ConnectionGuard extends BaseFilter {
+    private static final long IDLE_MS = 60_000;
+
+    private final Set<Connection<?>> open = ConcurrentHashMap.newKeySet();
+    private final int maxConnections;
+    private final long slowMs;
+    private volatile boolean draining;
+
+    ConnectionGuard(int maxConnections, long slowMs) {
+        this.maxConnections = maxConnections;
+        this.slowMs = slowMs;
+    }
+
+    @Override
+    public NextAction handleAccept(FilterChainContext ctx) {
+        Connection<?> connection = ctx.getConnection();
+        if (open.size() >= maxConnections) {
+            connection.closeSilently();
+            return ctx.getStopAction();
+        }
+        open.add(connection);
+        CallerConnection.of(connection);
+        return ctx.getInvokeAction();
+    }
+
+    @Override
+    public NextAction handleRead(FilterChainContext ctx) throws IOException {
+        if (CallerConnection.of(ctx.getConnection()).holdBack(ctx)) {
+            ctx.suspend();
+            return ctx.getSuspendAction();
+        }
+        return ctx.getInvokeAction();
+    }
+
+    @Override
+    public NextAction handleClose(FilterChainContext ctx) {
+        open.remove(ctx.getConnection());
+        CallerConnection.of(ctx.getConnection()).closed();
+        return ctx.getInvokeAction();
+    }
+
+    int connections() {
+        return open.size();
+    }
+
+    int unfinished() {
+        return (int)
+                open.stream().filter(c -> CallerConnection.of(c).isUnfinished()).count();
+    }
+
+    void drain() {
+        draining = true;
+    }
+
+    boolean isDraining() {
+        return draining;
+    }
+
+    void sweep() {
+        open.forEach(c -> CallerConnection.of(c).sweep(slowMs, IDLE_MS));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiadeck/node/front/Front.java
@@ -0,0 +1,48 @@
+package org.fuchsiadeck.node.front;
+
+import java.util.function.Supplier;
+
+import com.codahale.metrics.MetricRegistry;
+import org.fuchsiadeck.core.Effect;
+import org.fuchsiadeck.core.config.Configuration;
+import org.fuchsiadeck.core.model.Address;
+import org.fuchsiadeck.core.model.NodeId;
+import org.fuchsiadeck.node.exchange.Exchanges;
+import org.fuchsiadeck.node.run.EffectHandler;
+import org.fuchsiadeck.node.run.EventSink;
+import org.fuchsiadeck.node.settings.Limits;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * What the server for callers is made of.
+ *
+ * @param node the node's id
+ * @param address where it listens
+ * @param limits what it takes from callers
+ * @param exchanges takes the requests in progress
+ * @param events takes what callers do
+ * @param configuration gives the configuration in force
+ * @param log writes numbered events
+ * @param metrics where it reports its figures
+ */
+public record Front(
+        NodeId node,
+        Address address,
+        Limits limits,
+        Exchanges exchanges,
+        EventSink events,
+        Supplier<Configuration> configuration,
+        EffectHandler<Effect.Log> log,
+        MetricRegistry metrics) {
+    public Front {
+        requireNonNull(node, "node");
+        requireNonNull(address, "address");
+        requireNonNull(limits, "limits");
+        requireNonNull(exchanges, "exchanges");
+        requireNonNull(events, "events");
+        requireNonNull(configuration, "configuration");
+        requireNonNull(log, "log");
+        requireNonNull(metrics, "metrics");
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiadeck/node/operator/Operations.java
@@ -0,0 +1,27 @@
+package org.fuchsiadeck.node.operator;
+
+import java.util.List;
+import java.util.function.Supplier;
+
+import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.JsonNode;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * What operators may see and do.
+ *
+ * @param unready gives the reasons why the node should get no new work; empty if it is ready
+ * @param dump gives the node's state
+ * @param metrics the node's figures
+ * @param drain starts a graceful shutdown
+ */
+public record Operations(
+        Supplier<List<String>> unready, Supplier<JsonNode> dump, MetricRegistry metrics, Runnable drain) {
+    public Operations {
+        requireNonNull(unready, "unready");
+        requireNonNull(dump, "dump");
+        requireNonNull(metrics, "metrics");
+        requireNonNull(drain, "drain");
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiadeck/node/run/Decisions.java
@@ -0,0 +1,22 @@
+package org.fuchsiadeck.node.run;
+
+import org.fuchsiadeck.core.Event;
+import org.fuchsiadeck.core.NodeState;
+import org.fuchsiadeck.core.Step;
+
+/**
+ * Decides what follows from an event. Implemented by {@link org.fuchsiadeck.core.NodeReducer#reduce}.
+ */
+@FunctionalInterface
+public interface Decisions {
+    /**
+     * Reduces one event.
+     *
+     * @param state the state before the event
+     * @param nowMs the monotonic time, in milliseconds
+     * @param wallMs the wall-clock time, in milliseconds since 1970
+     * @param event what happened
+     * @return the next state and the effects, in order
+     */
+    Step<NodeState> reduce(NodeState state, long nowMs, long wallMs, Event event);
+}
--- /dev/null
+++ b/node/src/main/java/org/fuchsiadeck/node/settings/Settings.java
@@ -0,0 +1,60 @@
+package org.fuchsiadeck.node.settings;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+
+import org.fuchsiadeck.core.Identity;
+import org.fuchsiadeck.core.model.Address;
+import org.fuchsiadeck.core.model.Checks;
+import org.fuchsiadeck.node.log.LogLevel;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * The settings of a node.
+ *
+ * @param identity who the node is and where its peers reach it
+ * @param callers where it listens for callers
+ * @param operators where it listens for operators
+ * @param operatorToken what operators prove themselves with
+ * @param peerSeeds addresses of other nodes, to find the rest
+ * @param platform where the platform's key-value service is
+ * @param cloud where the platform serves the list of instances
+ * @param cloudPollMs time between readings of the list, in milliseconds
+ * @param drainNoticeMs longest time for a graceful shutdown that names no notice, in milliseconds
+ * @param logLevel the least level of the node's own log lines
+ * @param configuration a file with a configuration that does not change, for tests; empty to use the platform's
+ * @param limits what the node takes from callers and backend servers
+ */
+public record Settings(
+        Identity identity,
+        Address callers,
+        Address operators,
+        String operatorToken,
+        List<Address> peerSeeds,
+        Address platform,
+        Address cloud,
+        long cloudPollMs,
+        long drainNoticeMs,
+        LogLevel logLevel,
+        Optional<Path> configuration,
+        Limits limits) {
+    private static final long MIN_POLL_MS = 10;
+    private static final long MAX_MS = 3_600_000;
+
+    public Settings {
+        requireNonNull(identity, "identity");
+        requireNonNull(callers, "callers");
+        requireNonNull(operators, "operators");
+        Checks.notBlank(operatorToken, "operators.token");
+        peerSeeds = List.copyOf(peerSeeds);
+        requireNonNull(platform, "platform");
+        requireNonNull(cloud, "cloud");
+        Checks.inRange(cloudPollMs, MIN_POLL_MS, MAX_MS, "cloud.poll_ms");
+        Checks.inRange(drainNoticeMs, 0, MAX_MS, "drain_notice_ms");
+        requireNonNull(logLevel, "logLevel");
+        requireNonNull(configuration, "configuration");
+        requireNonNull(limits, "limits");
+    }
+}
--- a/node/src/test/java/org/fuchsiadeck/node/SmokeTest.java
+++ /dev/null
@@ -1,8 +0,0 @@
-package org.fuchsiadeck.node;
-
-import org.junit.jupiter.api.Test;
-
-class SmokeTest {
-    @Test
-    void runs() {}
-}
