Claim idempotency keys through owners in memory, by rosters in the platform's service

Cause: a caller's retry at another entry node could run a request twice. Ruled out: a compare-and-swap for every key in the platform's service (hundreds of writes a second, and refused during its outages); handing claims from roster to roster by key range before owners grant (what an owner still lacks has to be described and inherited over several changes); dropping an earlier roster by time alone (owners that are cut off may still grant by it). Change: a claim needs a majority of the key's owners of every roster in force; earlier rosters stay in force until each member of the newest has read their claims from owners that grant nothing more by older rosters, or until a majority of the earlier roster is known to have moved on and every claim has expired; owners grant only while a majority of the newest roster was lately known to go by none newer.

--- a/core/src/main/java/org/fuchsiadeck/core/claim/ClaimEvent.java
+++ b/core/src/main/java/org/fuchsiadeck/core/claim/ClaimEvent.java
@@ -40,6 +40,16 @@
         }
     }
 
+    /** The next round of upkeep begins. */
+    record Ticked() implements ClaimEvent {}
+
+    /**
+     * A claim that is not decided is to be asked for again, or given up.
+     *
+     * @param number the number of the claim
+     */
+    record RetryDue(long number) implements ClaimEvent {}
+
     /** How a request ended. */
     enum Settlement {
         /** A backend server answered it whole. */
--- /dev/null
+++ b/core/src/main/java/org/fuchsiadeck/core/claim/RosterSync.java
@@ -0,0 +1,164 @@
+package org.fuchsiadeck.core.claim;
+
+import io.vavr.collection.HashSet;
+import io.vavr.collection.Set;
+import io.vavr.collection.Vector;
+import org.fuchsiadeck.core.Effect;
+import org.fuchsiadeck.core.EventCode;
+import org.fuchsiadeck.core.claim.ClaimMessage.Digest;
+import org.fuchsiadeck.core.claim.ClaimMessage.HeldClaim;
+import org.fuchsiadeck.core.claim.ClaimMessage.Pull;
+import org.fuchsiadeck.core.claim.ClaimMessage.PullReply;
+import org.fuchsiadeck.core.model.NodeId;
+
+/**
+ * Keeps the members of the rosters at the same revision, and takes the claims of earlier rosters over into the newest.
+ */
+final class RosterSync {
+    private static final int KEYS_PER_REPLY = 200;
+    private static final int ROUNDS_PER_ABSENT_PULL = 8;
+
+    private RosterSync() {}
+
+    /** Goes by the given rosters from now on, if they are newer than those known. */
+    static void adopt(Turn turn, RosterChain chain) {
+        if (chain.revision() <= turn.state.revision()) {
+            return;
+        }
+        boolean changed = turn.state
+                .chain()
+                .forAll(c -> c.newest().basedOn() != chain.newest().basedOn());
+        turn.state = turn.state.with(chain);
+        Set<NodeId> members = HashSet.ofAll(chain.members());
+        turn.state = turn.state.with(turn.state.contacts().retain(members));
+        Requester.rostersChanged(turn);
+        if (!changed) {
+            return;
+        }
+        turn.state = turn.state.with(Takeover.begin(chain, turn.self));
+        turn.state = turn.state.with(turn.state.upkeep().newestSince(turn.nowMs));
+        String ids = chain.newest().members().keySet().mkString(" ");
+        turn.emit(new Effect.Log(EventCode.ROSTER_CHANGED, "revision " + chain.revision() + ": " + ids));
+        if (chain.includes(turn.self)) {
+            newestOthers(turn).forEach(id -> ask(turn, id));
+            pull(turn);
+        }
+    }
+
+    private static Vector<NodeId> newestOthers(Turn turn) {
+        return turn.state.chain().get().newest().members().keySet().toVector().remove(turn.self);
+    }
+
+    /** Asks one node in turn which rosters it goes by, and reports to the node that keeps the rosters. */
+    static void round(Turn turn) {
+        long round = turn.state.upkeep().round();
+        Vector<NodeId> peers = Vector.ofAll(turn.view.peers().alive().keySet());
+        if (turn.state.chain().isEmpty()) {
+            pick(peers, round).forEach(id -> ask(turn, id));
+            return;
+        }
+        if (!turn.state.chain().get().includes(turn.self)) {
+            return;
+        }
+        pick(newestOthers(turn), round).forEach(id -> ask(turn, id));
+        if (turn.state.chain().get().rosters().size() > 1) {
+            RosterKeeper.keeper(turn).filter(id -> !id.equals(turn.self)).forEach(id -> ask(turn, id));
+            report(turn, turn.self, digest(turn, true, 0));
+            pull(turn);
+        }
+    }
+
+    private static Vector<NodeId> pick(Vector<NodeId> nodes, long round) {
+        return nodes.isEmpty() ? nodes : Vector.of(nodes.get((int) (round % nodes.size())));
+    }
+
+    private static void ask(Turn turn, NodeId to) {
+        turn.send(to, digest(turn, false, turn.nowMs));
+    }
+
+    private static Digest digest(Turn turn, boolean reply, long sentMs) {
+        ClaimState state = turn.state;
+        long newest = state.chain().map(c -> c.newest().basedOn()).getOrElse(-1L);
+        Vector<Long> takenOver =
+                state.chain().map(c -> state.takeover().takenOver(c)).getOrElse(Vector.empty());
+        return new Digest(reply, sentMs, state.revision(), newest, takenOver.asJava());
+    }
+
+    static void digested(Turn turn, NodeId from, Digest digest) {
+        heard(turn, from, digest.revision());
+        if (!digest.reply()) {
+            turn.send(from, digest(turn, true, digest.sentMs()));
+        } else if (digest.revision() <= turn.state.revision()) {
+            turn.state = turn.state.with(turn.state.contacts().agreed(from, digest.sentMs()));
+        }
+        report(turn, from, digest);
+        turn.inform(from, digest.revision());
+    }
+
+    private static void heard(Turn turn, NodeId from, long revision) {
+        if (turn.state.chain().exists(c -> c.members().contains(from))) {
+            turn.state = turn.state.with(turn.state.contacts().heard(from, revision));
+        }
+    }
+
+    private static void report(Turn turn, NodeId from, Digest digest) {
+        if (turn.state.chain().exists(c -> c.newest().basedOn() == digest.newest())) {
+            turn.state = turn.state.with(turn.state.takeover().report(from, digest.takenOver()));
+        }
+    }
+
+    private static void pull(Turn turn) {
+        RosterChain chain = turn.state.chain().get();
+        Takeover takeover = turn.state.takeover();
+        if (takeover.takenOver(chain).size() == chain.older().size()) {
+            return;
+        }
+        boolean all = turn.state.upkeep().round() % ROUNDS_PER_ABSENT_PULL == 0;
+        takeover.cursors().forEach((id, afterKey) -> {
+            if (all || turn.view.peers().alive().containsKey(id)) {
+                turn.send(id, new Pull(chain, afterKey));
+            }
+        });
+    }
+
+    static void pulled(Turn turn, NodeId from, Pull pull) {
+        adopt(turn, pull.chain());
+        turn.inform(from, pull.chain().revision());
+        Roster newest = turn.state.chain().get().newest();
+        if (newest.basedOn() != pull.chain().newest().basedOn()) {
+            return;
+        }
+        Vector<String> keys = turn.state
+                .ledger()
+                .keysAfter(
+                        pull.afterKey(), KEYS_PER_REPLY, k -> newest.owners(k).contains(from));
+        Vector<HeldClaim> claims = keys.flatMap(k -> Owner.held(turn, k));
+        boolean last = keys.size() < KEYS_PER_REPLY;
+        turn.send(from, new PullReply(newest.basedOn(), pull.afterKey(), claims.asJava(), last, turn.state.revision()));
+    }
+
+    static void pullReplied(Turn turn, NodeId from, PullReply reply) {
+        heard(turn, from, reply.revision());
+        reply.claims().forEach(c -> Owner.take(turn, c));
+        Takeover takeover = turn.state.takeover();
+        boolean current = turn.state.chain().exists(c -> c.newest().basedOn() == reply.newest());
+        if (!current || !takeover.cursors().get(from).contains(reply.afterKey())) {
+            return;
+        }
+        if (reply.last()) {
+            turn.state = turn.state.with(takeover.finish(from));
+            reportToKeeper(turn);
+            return;
+        }
+        String lastKey = reply.claims().get(reply.claims().size() - 1).key();
+        turn.state = turn.state.with(takeover.advance(from, lastKey));
+        turn.send(from, new Pull(turn.state.chain().get(), lastKey));
+    }
+
+    private static void reportToKeeper(Turn turn) {
+        RosterChain chain = turn.state.chain().get();
+        if (turn.state.takeover().takenOver(chain).size() == chain.older().size()) {
+            RosterKeeper.keeper(turn).forEach(id -> turn.send(id, digest(turn, true, 0)));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiadeck/core/claim/Turn.java
@@ -0,0 +1,61 @@
+package org.fuchsiadeck.core.claim;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.fuchsiadeck.core.Effect;
+import org.fuchsiadeck.core.Event;
+import org.fuchsiadeck.core.PeerReceived;
+import org.fuchsiadeck.core.Step;
+import org.fuchsiadeck.core.View;
+import org.fuchsiadeck.core.model.NodeId;
+
+/**
+ * One event being reduced: the state so far, and the effects so far. Lives for one call of the reducer.
+ */
+final class Turn {
+    final View view;
+    final NodeId self;
+    final long nowMs;
+    ClaimState state;
+
+    private final List<Effect> effects = new ArrayList<>();
+
+    Turn(ClaimState state, View view) {
+        this.state = state;
+        this.view = view;
+        this.self = view.self().id();
+        this.nowMs = view.nowMs();
+    }
+
+    void emit(Effect effect) {
+        effects.add(effect);
+    }
+
+    void schedule(long delayMs, Event event) {
+        emit(new Effect.Schedule(nowMs + delayMs, event));
+    }
+
+    void send(NodeId to, ClaimMessage message) {
+        if (to.equals(self)) {
+            emit(new Effect.Raise(new PeerReceived(self, message)));
+        } else {
+            emit(new Effect.Send(to, message));
+        }
+    }
+
+    /** Sends the rosters to a node that goes by older ones. */
+    void inform(NodeId to, long revision) {
+        if (revision < state.revision()) {
+            send(to, new ClaimMessage.RosterNews(state.chain().get()));
+        }
+    }
+
+    long lifetimeMs() {
+        return view.config().defaults().claimLifetimeMs();
+    }
+
+    Step<ClaimState> step() {
+        return new Step<>(state, effects);
+    }
+}
