Accept configurations from the command line

Cause: operators need one safe way to accept a configuration, to see it, and to learn what came of a lost answer.

Ruled out: a separate history key written after the acceptance (it can be lost or disagree), and a lock (a pause of its holder).

Commands config apply, show, diff, explain, history, dump, members; seams for node and testbed. Exit codes 0 done, 1 failed, 2 wrong use, 3 outcome unknown.

--- /dev/null
+++ b/cli/src/main/java/org/fuchsiadeck/cli/config/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Commands on the configuration: apply, show, diff, explain, history.
+ */
+package org.fuchsiadeck.cli.config;
--- /dev/null
+++ b/cli/src/test/java/org/fuchsiadeck/cli/CommandLineTest.java
@@ -0,0 +1,96 @@
+package org.fuchsiadeck.cli;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.OptionalLong;
+
+import io.vavr.control.Either;
+import org.fuchsiadeck.node.platform.HttpAnswer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class CommandLineTest {
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "nonsense",
+                "config",
+                "config nonsense",
+                "config apply",
+                "config show --revision x",
+                "config show --platform here",
+                "config diff",
+                "config explain --at noon",
+                "dump --node 127.0.0.1:9000",
+                "dump --node 127.0.0.1:9000 --token-file /nonexistent",
+                "node"
+            })
+    void wrongUseEndsWithTwo(String line) {
+        CliRun run = CliRun.run(new FakeStore(), line.split(" "));
+        assertThat(run.code()).isEqualTo(ExitCode.WRONG_USE);
+        assertThat(run.code().code()).isEqualTo(2);
+        assertThat(run.err() + run.out()).contains("fuchsiadeck");
+    }
+
+    @Test
+    void listsTheCommands() {
+        CliRun run = CliRun.run(new FakeStore(), "--help");
+        assertThat(run.code()).isEqualTo(ExitCode.DONE);
+        assertThat(run.out()).contains("config apply", "members", "Exit codes: 0 done");
+    }
+
+    @Test
+    void helpOfACommandGivesOptionsAndExamples() {
+        CliRun run = CliRun.run(new FakeStore(), "config", "apply", "--help");
+        assertThat(run.code()).isEqualTo(ExitCode.DONE);
+        assertThat(run.out()).contains("--base", "Examples:", "fuchsiadeck config apply examples/howrah.toml");
+    }
+
+    @Test
+    void daemonsGetTheirSettings() {
+        Map<String, Command> commands = Map.of("node", new NodeCommand(p -> p.equals(Path.of("n.toml")) ? 0 : 1));
+        CommandLine line = new CommandLine(commands);
+        Console console = Console.system();
+        assertThat(line.run(console, "node", "--settings", "n.toml")).isEqualTo(ExitCode.DONE);
+        assertThat(line.run(console, "node", "--settings", "m.toml")).isEqualTo(ExitCode.FAILED);
+    }
+
+    @Test
+    void writesTheMembersOfANode(@TempDir Path dir) throws Exception {
+        Path token = Files.writeString(dir.resolve("token"), "secret\n");
+        String body = "{\"members\":[{\"id\":\"a\",\"zone\":\"sur\"},{\"id\":\"node-b\",\"zone\":\"norte\"}]}";
+        CliRun run = CliRun.run(
+                new FakeStore(),
+                call -> {
+                    assertThat(call.headers()).containsEntry("Authorization", "Bearer secret");
+                    return Either.right(new HttpAnswer(200, body, OptionalLong.empty()));
+                },
+                "members",
+                "--node",
+                "127.0.0.1:9000",
+                "--token-file",
+                token.toString());
+        assertThat(run.out()).isEqualTo("id      zone\na       sur\nnode-b  norte\n");
+        assertThat(run.code()).isEqualTo(ExitCode.DONE);
+    }
+
+    @Test
+    void refusedTokenEndsWithOne(@TempDir Path dir) throws Exception {
+        Path token = Files.writeString(dir.resolve("token"), "wrong");
+        CliRun run = CliRun.run(
+                new FakeStore(),
+                call -> Either.right(new HttpAnswer(401, "{}", OptionalLong.empty())),
+                "dump",
+                "--node",
+                "127.0.0.1:9000",
+                "--token-file",
+                token.toString());
+        assertThat(run.code()).isEqualTo(ExitCode.FAILED);
+        assertThat(run.err()).contains("refused the token").hasLineCount(1);
+    }
+}
--- a/cli/src/test/java/org/fuchsiadeck/cli/SmokeTest.java
+++ /dev/null
@@ -1,8 +0,0 @@
-package org.fuchsiadeck.cli;
-
-import org.junit.jupiter.api.Test;
-
-class SmokeTest {
-    @Test
-    void runs() {}
-}
--- a/node/src/main/java/org/fuchsiadeck/node/config/Envelope.java
+++ b/node/src/main/java/org/fuchsiadeck/node/config/Envelope.java
@@ -78,6 +78,16 @@
         }
     }
 
+    /**
+     * Reads an envelope, or wraps a value that is none, so that operators can see and replace it.
+     *
+     * @param value the value of the platform's service
+     * @return the envelope
+     */
+    public static Envelope parseOrWrap(String value) {
+        return parse(value).getOrElseGet(e -> new Envelope("none", "unknown", e, 0, value, List.of()));
+    }
+
     /**
      * Writes the envelope.
      *
--- a/node/src/main/java/org/fuchsiadeck/node/platform/HttpKeyValueStore.java
+++ b/node/src/main/java/org/fuchsiadeck/node/platform/HttpKeyValueStore.java
@@ -33,6 +33,7 @@
     private final HttpCalls http;
     private final Address service;
     private final long timeoutMs;
+    private final Runnable onClose;
 
     /**
      * Makes a client.
@@ -42,9 +43,26 @@
      * @param timeoutMs the longest wait for an answer, in milliseconds; a watch waits longer by its own wait
      */
     public HttpKeyValueStore(HttpCalls http, Address service, long timeoutMs) {
+        this(http, service, timeoutMs, () -> {});
+    }
+
+    private HttpKeyValueStore(HttpCalls http, Address service, long timeoutMs, Runnable onClose) {
         this.http = requireNonNull(http, "http");
         this.service = requireNonNull(service, "service");
         this.timeoutMs = timeoutMs;
+        this.onClose = onClose;
+    }
+
+    /**
+     * Makes a client that owns its connections.
+     *
+     * @param service the service's address
+     * @param timeoutMs the longest wait for an answer, in milliseconds; a watch waits longer by its own wait
+     * @return the client; to be closed
+     */
+    public static HttpKeyValueStore open(Address service, long timeoutMs) {
+        HttpCalls http = new HttpCalls();
+        return new HttpKeyValueStore(http, service, timeoutMs, http::close);
     }
 
     @Override
@@ -115,7 +133,9 @@
     }
 
     @Override
-    public void close() {}
+    public void close() {
+        onClose.run();
+    }
 
     /** Makes a call; {@code read} gives null for a status that it does not expect. */
     private <T> CompletionStage<Either<PlatformFailure, T>> call(
@@ -131,8 +151,11 @@
     }
 
     private <T> Either<PlatformFailure, T> read(String step, HttpAnswer answer, BiFunction<Integer, JsonNode, T> read) {
-        if (answer.status() == UNAVAILABLE || answer.status() == TOO_MANY) {
-            return Either.left(failure(step, "status " + answer.status(), PlatformFailure.Reason.REFUSED));
+        if (answer.status() == TOO_MANY) {
+            return Either.left(failure(step, "over the service's rate", PlatformFailure.Reason.REFUSED));
+        }
+        if (answer.status() == UNAVAILABLE) {
+            return Either.left(failure(step, "the service is unavailable", PlatformFailure.Reason.NO_ANSWER));
         }
         try {
             T value = read.apply(answer.status(), JSON.readTree(answer.body()));
--- a/node/src/main/java/org/fuchsiadeck/node/platform/PlatformFailure.java
+++ b/node/src/main/java/org/fuchsiadeck/node/platform/PlatformFailure.java
@@ -21,9 +21,9 @@
 
     /** The kinds of failures. */
     public enum Reason {
-        /** No whole answer came. */
+        /** No whole answer came, or the service has an outage; a write may have taken effect if it was sent. */
         NO_ANSWER,
-        /** The service is down or over its rate, and did not run the call. */
+        /** The service is over its rate and did not run the call. */
         REFUSED,
         /** The node's own call budget is used up; nothing was sent. */
         BUDGET,
@@ -35,4 +35,13 @@
     public String toString() {
         return step + " at " + peer + ": " + detail;
     }
+
+    /**
+     * Tells whether a write that failed so may have taken effect.
+     *
+     * @return whether it may
+     */
+    public boolean maybeDone() {
+        return sent && reason == Reason.NO_ANSWER;
+    }
 }
