Wire the platform's service, the peers and the command line into the daemon

Cause: the parts stood side by side; nothing was served from start to finish by processes. Ruled out: one opener for each effect type (peers need two that share a link, the platform's part two that share a client).

--- a/cli/src/main/java/org/fuchsiadeck/cli/Main.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/Main.java
@@ -13,14 +13,16 @@
 import org.fuchsiadeck.cli.state.DumpCommand;
 import org.fuchsiadeck.cli.state.MembersCommand;
 import org.fuchsiadeck.cli.state.OperatorCalls;
+import org.fuchsiadeck.node.NodeDaemon;
 import org.fuchsiadeck.node.platform.HttpKeyValueStore;
+import org.fuchsiadeck.testbed.TestbedDaemon;
 
 /**
  * The program {@code fuchsiadeck}.
  */
 public final class Main {
-    private static final ToIntFunction<Path> NODE = settings -> absent("node");
-    private static final ToIntFunction<Path> TESTBED = settings -> absent("testbed");
+    private static final ToIntFunction<Path> NODE = NodeDaemon::run;
+    private static final ToIntFunction<Path> TESTBED = TestbedDaemon::run;
 
     private Main() {}
 
@@ -54,8 +56,4 @@
         out.put("testbed", new TestbedCommand(TESTBED));
         return out;
     }
-
-    private static int absent(String daemon) {
-        throw new IllegalStateException("this build has no " + daemon);
-    }
 }
--- a/node/src/main/java/org/fuchsiadeck/node/Node.java
+++ b/node/src/main/java/org/fuchsiadeck/node/Node.java
@@ -14,7 +14,10 @@
 import org.fuchsiadeck.core.EventCode;
 import org.fuchsiadeck.core.Lifecycle;
 import org.fuchsiadeck.core.NodeState;
+import org.fuchsiadeck.core.config.ConfigEffect;
 import org.fuchsiadeck.core.config.Configuration;
+import org.fuchsiadeck.core.membership.MembershipEffect;
+import org.fuchsiadeck.core.membership.MembershipEvent;
 import org.fuchsiadeck.core.platform.PlatformEffect;
 import org.fuchsiadeck.core.platform.PlatformEvent;
 import org.fuchsiadeck.core.request.RequestEffect;
@@ -29,6 +32,7 @@
 import org.fuchsiadeck.node.operator.OperatorServer;
 import org.fuchsiadeck.node.operator.StateJson;
 import org.fuchsiadeck.node.run.Closer;
+import org.fuchsiadeck.node.run.EffectHandler;
 import org.fuchsiadeck.node.run.Effects;
 import org.fuchsiadeck.node.run.EventLoop;
 import org.fuchsiadeck.node.settings.LoadedSettings;
@@ -90,11 +94,15 @@
                 metrics,
                 settings.limits().maxAnswerBytes());
         instances = new InstanceList(client, settings.cloud(), this::postListing, metrics);
+        Parts.Surroundings around = new Parts.Surroundings(settings, loop, closer, metrics, loop::state);
+        EffectHandler<Effect> platform =
+                step("platform.address", () -> parts.platform().open(around));
+        EffectHandler<Effect> peers = step("peers.address", () -> parts.peers().open(around));
         effects.on(RequestEffect.class, new RequestEffects(exchanges, backends))
-                .on(
-                        PlatformEffect.class,
-                        step("platform.address", () -> parts.platform().open(settings, loop, closer)))
-                .on(Effect.Send.class, step("peers.address", () -> parts.peers().open(settings, loop, closer)))
+                .on(PlatformEffect.class, platform::handle)
+                .on(ConfigEffect.class, platform::handle)
+                .on(Effect.Send.class, peers::handle)
+                .on(MembershipEffect.class, peers::handle)
                 .on(Effect.Log.class, log)
                 .on(Effect.Stop.class, e -> drain.allAnswered());
         callers = closer.add(step("callers.address", () -> CallerServer.start(front())));
@@ -105,6 +113,7 @@
         metrics.registerGauge("front.connections", callers::connections);
         loop.start();
         loop.post(new Lifecycle.Started());
+        loop.post(new MembershipEvent.Seeded(settings.peerSeeds()));
         Housekeeping chores = closer.add(new Housekeeping());
         chores.every(settings.cloudPollMs(), instances::poll);
         chores.every(SWEEP_MS, this::sweep);
--- a/node/src/main/java/org/fuchsiadeck/node/Parts.java
+++ b/node/src/main/java/org/fuchsiadeck/node/Parts.java
@@ -1,13 +1,15 @@
 package org.fuchsiadeck.node;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Function;
+import java.util.function.Supplier;
 
+import com.codahale.metrics.MetricRegistry;
 import org.fuchsiadeck.core.Effect;
 import org.fuchsiadeck.core.NodeReducer;
 import org.fuchsiadeck.core.NodeState;
 import org.fuchsiadeck.core.config.Configuration;
-import org.fuchsiadeck.core.platform.PlatformEffect;
 import org.fuchsiadeck.node.run.Closer;
 import org.fuchsiadeck.node.run.Decisions;
 import org.fuchsiadeck.node.run.EffectHandler;
@@ -29,8 +31,8 @@
         Decisions decisions,
         Function<NodeState, Configuration> configuration,
         Function<NodeState, List<String>> unready,
-        Opener<PlatformEffect> platform,
-        Opener<Effect.Send> peers) {
+        Opener platform,
+        Opener peers) {
     public Parts {
         requireNonNull(decisions, "decisions");
         requireNonNull(configuration, "configuration");
@@ -40,22 +42,36 @@
     }
 
     /**
-     * Opens what runs the effects of one type.
+     * What a part may use of its node.
      *
-     * @param <E> the type of the effects
+     * @param settings the node's settings
+     * @param events takes what comes of the effects
+     * @param closer closes what the part opens
+     * @param metrics takes the part's counts
+     * @param state reads the node's state
      */
+    public record Surroundings(
+            Settings settings, EventSink events, Closer closer, MetricRegistry metrics, Supplier<NodeState> state) {
+        public Surroundings {
+            requireNonNull(settings, "settings");
+            requireNonNull(events, "events");
+            requireNonNull(closer, "closer");
+            requireNonNull(metrics, "metrics");
+            requireNonNull(state, "state");
+        }
+    }
+
+    /** Opens what runs the effects of a part. */
     @FunctionalInterface
-    public interface Opener<E extends Effect> {
+    public interface Opener {
         /**
          * Opens the handler.
          *
-         * @param settings the node's settings
-         * @param events takes what comes of the effects
-         * @param closer closes what the handler opens
+         * @param node what the part may use
          * @return the handler
          * @throws Exception if it can't be opened
          */
-        EffectHandler<E> open(Settings settings, EventSink events, Closer closer) throws Exception;
+        EffectHandler<Effect> open(Surroundings node) throws Exception;
     }
 
     /**
@@ -67,8 +83,14 @@
         return new Parts(
                 new NodeReducer()::reduce,
                 s -> s.config().current(),
-                s -> s.config().unready(),
-                (settings, events, closer) -> effect -> {},
-                (settings, events, closer) -> effect -> {});
+                Parts::unready,
+                PlatformPart::open,
+                PeerPart::open);
+    }
+
+    private static List<String> unready(NodeState state) {
+        List<String> reasons = new ArrayList<>(state.config().unready());
+        reasons.addAll(state.rollouts().unready());
+        return reasons;
     }
 }
--- a/node/src/main/java/org/fuchsiadeck/node/settings/Settings.java
+++ b/node/src/main/java/org/fuchsiadeck/node/settings/Settings.java
@@ -18,6 +18,7 @@
  * @param callers where it listens for callers
  * @param operators where it listens for operators
  * @param operatorToken what operators prove themselves with
+ * @param peerBind where it listens for its peers; other than where they reach it if something stands in between
  * @param peerSeeds addresses of other nodes, to find the rest
  * @param platform where the platform's key-value service is
  * @param cloud where the platform serves the list of instances
@@ -32,6 +33,7 @@
         Address callers,
         Address operators,
         String operatorToken,
+        Address peerBind,
         List<Address> peerSeeds,
         Address platform,
         Address cloud,
@@ -48,6 +50,7 @@
         requireNonNull(callers, "callers");
         requireNonNull(operators, "operators");
         Checks.notBlank(operatorToken, "operators.token");
+        requireNonNull(peerBind, "peerBind");
         peerSeeds = List.copyOf(peerSeeds);
         requireNonNull(platform, "platform");
         requireNonNull(cloud, "cloud");
--- a/node/src/main/java/org/fuchsiadeck/node/settings/SettingsFile.java
+++ b/node/src/main/java/org/fuchsiadeck/node/settings/SettingsFile.java
@@ -52,11 +52,13 @@
 
     private static Settings settings(Path file, TomlParseResult source) {
         Keys keys = new Keys(source);
+        Identity identity = identity(keys);
         Settings settings = new Settings(
-                identity(keys),
+                identity,
                 keys.parsed("callers.address", Address::parse),
                 keys.optional("operators.address", Address::parse).orElse(DEFAULT_OPERATORS),
                 keys.text("operators.token"),
+                keys.optional("peers.bind", Address::parse).orElse(identity.peerAddress()),
                 keys.list("peers.seeds", Address::parse),
                 keys.parsed("platform.address", Address::parse),
                 keys.parsed("cloud.address", Address::parse),
--- a/node/src/test/java/org/fuchsiadeck/node/testing/TestNode.java
+++ b/node/src/test/java/org/fuchsiadeck/node/testing/TestNode.java
@@ -113,6 +113,7 @@
                 Sockets.freeAddress(),
                 Sockets.freeAddress(),
                 "secret-word",
+                Sockets.freeAddress(),
                 List.of(),
                 Sockets.freeAddress(),
                 list,
