--- a/cli/src/test/java/org/fuchsiadeck/cli/FakeStore.java
+++ b/cli/src/test/java/org/fuchsiadeck/cli/FakeStore.java
@@ -1,7 +1,9 @@
 package org.fuchsiadeck.cli;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeMap;
@@ -19,7 +21,9 @@
         NONE,
         NOT_SENT,
         LOST_REQUEST,
-        LOST_ANSWER
+        LOST_ANSWER,
+        /** The call fails, and takes effect at the next one. */
+        DELAYED
     }
 
     public final TreeMap<String, Entry> entries = new TreeMap<>();
@@ -27,11 +31,14 @@
     public final Deque<Fault> reads = new ArrayDeque<>();
     public Fault afterwards = Fault.NONE;
     public Runnable beforeWrite = () -> {};
+    public final List<String> accepted = new ArrayList<>();
+    private Runnable delayed = () -> {};
     public int closed;
     private long revision;
 
     @Override
     public CompletionStage<Either<PlatformFailure, Found>> get(String key) {
+        runDelayed();
         Fault fault = reads.isEmpty() ? afterwards : reads.remove();
         return fault == Fault.NONE
                 ? done(Either.right(new Found(Optional.ofNullable(entries.get(key)), revision)))
@@ -47,14 +54,26 @@
         Runnable before = beforeWrite;
         beforeWrite = () -> {};
         before.run();
+        runDelayed();
         Fault fault = writes.isEmpty() ? afterwards : writes.remove();
         if (fault == Fault.NOT_SENT || fault == Fault.LOST_REQUEST) {
             return failed(fault);
         }
+        if (fault == Fault.DELAYED) {
+            delayed = () -> swap(key, value, expected);
+            return failed(fault);
+        }
         Swap swap = swap(key, value, expected);
         return fault == Fault.NONE ? done(Either.right(swap)) : failed(fault);
     }
 
+    /** Lets a delayed write take effect. */
+    public void runDelayed() {
+        Runnable write = delayed;
+        delayed = () -> {};
+        write.run();
+    }
+
     public Swap swap(String key, String value, OptionalLong expected) {
         long current = entries.containsKey(key) ? entries.get(key).revision() : 0;
         if (expected.isPresent() && expected.getAsLong() != current) {
@@ -62,6 +81,9 @@
         }
         revision++;
         entries.put(key, new Entry(key, Optional.of(value), revision));
+        if (key.equals("config/current")) {
+            accepted.add(value);
+        }
         return new Swap(true, revision);
     }
 
