--- a/node/src/test/java/org/fuchsiadeck/node/rollout/RolloutCodecsTest.java
+++ b/node/src/test/java/org/fuchsiadeck/node/rollout/RolloutCodecsTest.java
@@ -2,8 +2,6 @@
 
 import java.util.List;
 
-import com.google.protobuf.ByteString;
-import com.google.protobuf.MessageLite;
 import io.vavr.collection.TreeMap;
 import org.fuchsiadeck.core.PeerMessage;
 import org.fuchsiadeck.core.model.VersionShares.ServiceVersion;
@@ -12,7 +10,7 @@
 import org.fuchsiadeck.core.rollout.Histogram;
 import org.fuchsiadeck.core.rollout.RolloutMessage;
 import org.fuchsiadeck.core.rollout.Tally;
-import org.fuchsiadeck.node.peer.MessageCodec;
+import org.fuchsiadeck.node.testing.WireCopy;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -33,19 +31,6 @@
     @ParameterizedTest
     @MethodSource("messages")
     void readsWhatItWrote(PeerMessage message) throws Exception {
-        assertThat(copy(codec(message), message)).isEqualTo(message);
-    }
-
-    private static MessageCodec<?> codec(PeerMessage message) {
-        return RolloutCodecs.all().stream()
-                .filter(c -> c.type().isInstance(message))
-                .findFirst()
-                .orElseThrow();
-    }
-
-    private static <M extends PeerMessage> PeerMessage copy(MessageCodec<M> codec, PeerMessage message)
-            throws Exception {
-        MessageLite proto = codec.encode().apply(codec.type().cast(message));
-        return codec.decode().decode(ByteString.copyFrom(proto.toByteArray()));
+        assertThat(WireCopy.of(RolloutCodecs.all(), message)).isEqualTo(message);
     }
 }
