Test membership and claims in a small fleet under random faults

Cause: the promises of membership and claims hold under loss, repetition, delay, pauses and partitions or not at all. Ruled out: timing over real sockets (no replay from a seed); a network that only loses (reordering and pauses are what break claims). Change: a fleet of pure reducers in virtual time with a failing key-value service, from one seed; callers that repeat keys at random nodes; properties with fixed seeds. A claim that timed out now asks a peer for newer rosters.

--- a/core/src/main/java/org/fuchsiadeck/core/claim/Requester.java
+++ b/core/src/main/java/org/fuchsiadeck/core/claim/Requester.java
@@ -70,6 +70,7 @@
         }
         if (turn.nowMs >= pending.deadlineMs()) {
             giveUp(turn, number, pending, Denial.UNDECIDED);
+            RosterSync.askAround(turn, number);
             return;
         }
         ask(turn, number, pending);
--- a/core/src/main/java/org/fuchsiadeck/core/claim/RosterSync.java
+++ b/core/src/main/java/org/fuchsiadeck/core/claim/RosterSync.java
@@ -52,9 +52,8 @@
     /** Asks one node in turn which rosters it goes by, and reports to the node that keeps the rosters. */
     static void round(Turn turn) {
         long round = turn.state.upkeep().round();
-        Vector<NodeId> peers = Vector.ofAll(turn.view.peers().alive().keySet());
         if (turn.state.chain().isEmpty()) {
-            pick(peers, round).forEach(id -> ask(turn, id));
+            askAround(turn, round);
             return;
         }
         if (!turn.state.chain().get().includes(turn.self)) {
@@ -68,6 +67,12 @@
         }
     }
 
+    /** Asks any peer for the rosters, because those known are missing or their owners do not answer. */
+    static void askAround(Turn turn, long draw) {
+        Vector<NodeId> peers = Vector.ofAll(turn.view.peers().alive().keySet());
+        pick(peers, draw).forEach(id -> ask(turn, id));
+    }
+
     private static Vector<NodeId> pick(Vector<NodeId> nodes, long round) {
         return nodes.isEmpty() ? nodes : Vector.of(nodes.get((int) (round % nodes.size())));
     }
--- /dev/null
+++ b/core/src/test/java/org/fuchsiadeck/core/claim/Callers.java
@@ -0,0 +1,81 @@
+package org.fuchsiadeck.core.claim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.fuchsiadeck.core.Fleet;
+import org.fuchsiadeck.core.claim.ClaimEvent.Settlement;
+import org.fuchsiadeck.core.model.RequestId;
+import org.fuchsiadeck.core.request.RequestEvent;
+
+/**
+ * Callers that claim keys at random nodes, repeat their keys, and end their requests in every way; and the check that no
+ * key is granted twice.
+ */
+final class Callers {
+    final List<String> violations = new ArrayList<>();
+    final Map<RequestEvent.Denial, Integer> denials = new HashMap<>();
+    int granted;
+
+    private final Fleet fleet;
+    private final long lifetimeMs;
+    private final Map<RequestId, String> keys = new HashMap<>();
+    private final Map<String, Grant> grants = new HashMap<>();
+    private int requests;
+
+    private record Grant(RequestId request, long atMs) {}
+
+    Callers(Fleet fleet, long lifetimeMs) {
+        this.fleet = fleet;
+        this.lifetimeMs = lifetimeMs;
+        fleet.onRequest = this::decided;
+    }
+
+    void want(String key) {
+        if (fleet.nodes.isEmpty()) {
+            return;
+        }
+        List<String> ids = new ArrayList<>(fleet.nodes.keySet());
+        wantAt(ids.get(fleet.random.nextInt(ids.size())), key);
+    }
+
+    void wantAt(String node, String key) {
+        RequestId id = new RequestId("r" + requests++);
+        keys.put(id, key);
+        fleet.post(node, 0, new ClaimEvent.Wanted(id, key));
+    }
+
+    private void decided(String node, RequestEvent event) {
+        if (event instanceof RequestEvent.ClaimDenied denied) {
+            denials.merge(denied.denial(), 1, Integer::sum);
+        } else if (event instanceof RequestEvent.ClaimGranted) {
+            granted(node, event.id());
+        }
+    }
+
+    private void granted(String node, RequestId id) {
+        granted++;
+        String key = keys.get(id);
+        Grant before = grants.get(key);
+        if (before != null && fleet.nowMs < before.atMs() + lifetimeMs) {
+            violations.add(key + " granted to " + before + " and at " + fleet.nowMs + " to " + id);
+        }
+        grants.put(key, new Grant(id, fleet.nowMs));
+        int end = fleet.random.nextInt(5);
+        if (end < Settlement.values().length) {
+            fleet.runLater(fleet.random.nextInt(3_000), () -> settle(node, id, key, Settlement.values()[end]));
+        }
+    }
+
+    private void settle(String node, RequestId id, String key, Settlement settlement) {
+        if (!fleet.nodes.containsKey(node)) {
+            return;
+        }
+        if (settlement == Settlement.NOT_RUN && grants.get(key).request().equals(id)) {
+            grants.remove(key);
+        }
+        fleet.post(node, 0, new ClaimEvent.Settled(id, key, settlement));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/fuchsiadeck/core/claim/ClaimPropertyTest.java
@@ -0,0 +1,207 @@
+package org.fuchsiadeck.core.claim;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.fuchsiadeck.core.Fleet;
+import org.fuchsiadeck.core.Lifecycle;
+import org.fuchsiadeck.core.config.Configuration;
+import org.fuchsiadeck.core.config.Policy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ClaimPropertyTest {
+    private static final int ZONES = 4;
+    private static final long STEP_MS = 250;
+    private static final int KEYS_IN_USE = 12;
+
+    @Property(seed = "11", tries = 30)
+    void grantsEveryFirstClaimAndRefusesTheSecondWhileNothingFails(
+            @ForAll long seed, @ForAll @IntRange(min = 1, max = 9) int count) {
+        Fleet fleet = fleet(seed, count, 600_000);
+        Callers callers = new Callers(fleet, 600_000);
+        fleet.runFor(30_000);
+        for (int i = 0; i < 100; i++) {
+            callers.want("key" + i);
+            fleet.runFor(100);
+        }
+        assertThat(callers.granted).isEqualTo(100);
+        assertThat(callers.denials).isEmpty();
+    }
+
+    @Property(seed = "12", tries = 150)
+    void grantsNoKeyTwiceUnderLossDeathsJoinsPausesAndPartitions(
+            @ForAll long seed, @ForAll @IntRange(min = 3, max = 9) int count) {
+        long lifetimeMs = 60_000 + Math.floorMod(seed, 3) * 270_000;
+        Fleet fleet = fleet(seed, count, lifetimeMs);
+        Callers callers = new Callers(fleet, lifetimeMs);
+        fleet.runFor(20_000);
+        for (int i = 0; i < 1_000; i++) {
+            if (fleet.random.nextInt(8) == 0) {
+                disturb(fleet);
+            }
+            claimSome(fleet, callers, i);
+            fleet.runFor(STEP_MS);
+        }
+        assertThat(callers.violations).isEmpty();
+    }
+
+    @Property(seed = "13", tries = 40)
+    void grantsNoKeyTwiceWhereOwnersAreCutOffForLongerThanAClaimLives(@ForAll long seed) {
+        long lifetimeMs = 20_000;
+        Fleet fleet = fleet(seed, 8, lifetimeMs);
+        Callers callers = new Callers(fleet, lifetimeMs);
+        fleet.runFor(20_000);
+        List<String> ids = new ArrayList<>(fleet.nodes.keySet());
+        fleet.partition = Set.copyOf(ids.subList(0, 2 + fleet.random.nextInt(4)));
+        fleet.platformReaches = id -> !fleet.partition.contains(id);
+        for (int i = 0; i < 800; i++) {
+            claimSome(fleet, callers, i);
+            fleet.runFor(STEP_MS);
+        }
+        assertThat(callers.violations).isEmpty();
+    }
+
+    @Property(seed = "14", tries = 30)
+    void claimsGoOnWithTwoOfThreeOwnersWhileThePlatformsServiceIsDown(@ForAll long seed) {
+        Fleet fleet = fleet(seed, 8, 600_000);
+        Callers callers = new Callers(fleet, 600_000);
+        fleet.runFor(30_000);
+        fleet.platformFailure = 1;
+        fleet.kill(fleet.nodes.firstKey());
+        fleet.runFor(60_000);
+        for (int i = 0; i < 50; i++) {
+            callers.want("key" + i);
+            fleet.runFor(STEP_MS);
+        }
+        assertThat(callers.granted).isEqualTo(50);
+    }
+
+    @Property(seed = "15", tries = 30)
+    void claimsSurviveTheReclaimOfOneZoneAfterAnother(@ForAll long seed) {
+        Fleet fleet = fleet(seed, 8, 600_000);
+        Callers callers = new Callers(fleet, 600_000);
+        fleet.runFor(30_000);
+        for (int i = 0; i < 50; i++) {
+            callers.want("early" + i);
+            fleet.runFor(100);
+        }
+        assertThat(callers.granted).isEqualTo(50);
+        for (int zone = 0; zone < 3; zone++) {
+            reclaim(fleet, "z" + zone);
+            fleet.runFor(20_000);
+        }
+        for (int i = 0; i < 50; i++) {
+            callers.want("late" + i);
+            callers.want("early" + i);
+            fleet.runFor(1_000);
+        }
+        assertThat(callers.violations).isEmpty();
+        assertThat(callers.denials).doesNotContainKey(org.fuchsiadeck.core.request.RequestEvent.Denial.UNDECIDED);
+    }
+
+    @Property(seed = "16", tries = 30)
+    void retiresEarlierRostersAfterFaultsEnd(@ForAll long seed) {
+        Fleet fleet = fleet(seed, 6, 60_000);
+        fleet.runFor(20_000);
+        for (int i = 0; i < 200; i++) {
+            disturb(fleet);
+            fleet.runFor(STEP_MS);
+        }
+        calm(fleet);
+        fleet.runFor(50_000);
+        fleet.nodes.values().removeIf(n -> n.claims.upkeep().sight().selfLeaving());
+        fleet.start("z0");
+        fleet.runFor(400_000);
+        for (Fleet.Node node : fleet.nodes.values()) {
+            RosterChain chain = node.claims.chain().get();
+            assertThat(chain.older()).isEmpty();
+            Set<String> ids = new HashSet<>();
+            chain.newest().members().keySet().forEach(id -> ids.add(id.value()));
+            assertThat(ids).isEqualTo(fleet.nodes.keySet());
+        }
+    }
+
+    private static void claimSome(Fleet fleet, Callers callers, int round) {
+        callers.want("key" + round);
+        callers.want("key" + (round - fleet.random.nextInt(KEYS_IN_USE)));
+        if (fleet.random.nextInt(3) == 0) {
+            callers.want("key" + (round - fleet.random.nextInt(200)));
+        }
+    }
+
+    private static void reclaim(Fleet fleet, String zone) {
+        List<String> ids = fleet.nodes.values().stream()
+                .filter(n -> n.self.zone().value().equals(zone))
+                .map(n -> n.self.id().value())
+                .toList();
+        ids.forEach(id -> fleet.post(id, 0, new Lifecycle.StopRequested(10_000)));
+        fleet.runFor(10_000);
+        ids.forEach(fleet::kill);
+    }
+
+    private static void disturb(Fleet fleet) {
+        Random random = fleet.random;
+        List<String> ids = new ArrayList<>(fleet.nodes.keySet());
+        String any = ids.get(random.nextInt(ids.size()));
+        int max = 9;
+        switch (random.nextInt(10)) {
+            case 0 -> fleet.loss = random.nextInt(3) * 0.2;
+            case 1 -> fleet.duplication = random.nextInt(3) * 0.3;
+            case 2 -> fleet.maxDelayMs = new int[] {5, 50, 600, 3_000}[random.nextInt(4)];
+            case 3 -> fleet.platformFailure = random.nextInt(3) * 0.5;
+            case 4 -> fleet.nodes.get(any).pausedUntilMs = fleet.nowMs + random.nextInt(40_000);
+            case 5 -> fleet.partition = Set.copyOf(ids.subList(0, random.nextInt(ids.size())));
+            case 6 -> fleet.post(any, 0, new Lifecycle.StopRequested(5_000));
+            case 7 -> {
+                if (ids.size() > 3) {
+                    fleet.kill(any);
+                }
+            }
+            case 8 -> {
+                if (ids.size() < max) {
+                    fleet.start("z" + random.nextInt(ZONES));
+                }
+            }
+            default -> calm(fleet);
+        }
+    }
+
+    private static void calm(Fleet fleet) {
+        fleet.loss = 0;
+        fleet.duplication = 0;
+        fleet.maxDelayMs = 5;
+        fleet.platformFailure = 0;
+        fleet.partition = Set.of();
+    }
+
+    private static Fleet fleet(long seed, int count, long lifetimeMs) {
+        Policy p = Policy.DEFAULT;
+        Policy policy = new Policy(
+                p.connectTimeoutMs(),
+                p.firstByteTimeoutMs(),
+                p.chunkTimeoutMs(),
+                p.connectionMaxAgeMs(),
+                p.freshConnectionMs(),
+                p.maxAttempts(),
+                p.retryBudgetPercent(),
+                p.backendConcurrency(),
+                p.queueLimit(),
+                p.suspectMs(),
+                p.leavingGraceMs(),
+                p.earlySharePercent(),
+                lifetimeMs,
+                p.weight());
+        Fleet fleet = new Fleet(seed, new Configuration(1, policy, List.of(), List.of(), List.of()));
+        for (int i = 0; i < count; i++) {
+            fleet.start("z" + i % ZONES);
+        }
+        return fleet;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/fuchsiadeck/core/membership/MembershipPropertyTest.java
@@ -0,0 +1,132 @@
+package org.fuchsiadeck.core.membership;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.fuchsiadeck.core.Fleet;
+import org.fuchsiadeck.core.Identity;
+import org.fuchsiadeck.core.Lifecycle;
+import org.fuchsiadeck.core.config.Configuration;
+import org.fuchsiadeck.core.membership.Member.Status;
+import org.fuchsiadeck.core.membership.MembershipMessage.Update;
+import org.fuchsiadeck.core.model.Address;
+import org.fuchsiadeck.core.model.NodeId;
+import org.fuchsiadeck.core.model.Zone;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class MembershipPropertyTest {
+    private static final Identity SELF = new Identity(new NodeId("self"), new Zone("z"), address(1), 1);
+
+    @Property(seed = "1", tries = 300)
+    void tablesConvergeWhateverTheOrderAndRepetitionOfUpdates(@ForAll long seed) {
+        Random random = new Random(seed);
+        List<Update> updates = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            updates.add(update(random));
+        }
+        MemberTable one = merge(MemberTable.empty(), updates);
+        List<Update> shuffled = new ArrayList<>(updates);
+        shuffled.addAll(updates.subList(0, 10));
+        Collections.shuffle(shuffled, random);
+        assertThat(merge(MemberTable.empty(), shuffled).members()).isEqualTo(one.members());
+    }
+
+    @Property(seed = "2", tries = 300)
+    void leavingNeverRevertsUnderTheSameIncarnation(@ForAll long seed) {
+        Random random = new Random(seed);
+        MemberTable table = merge(MemberTable.empty(), List.of(new Update(member(3, 5, Status.LEAVING), 0)));
+        for (int i = 0; i < 30; i++) {
+            Member other = member(3, random.nextInt(6), Status.values()[random.nextInt(4)]);
+            table = table.merge(SELF, new Update(other, 0), i);
+        }
+        Member left = table.entries().get(new NodeId("m3")).get().member();
+        assertThat(left.status()).isIn(Status.LEAVING, Status.DEAD);
+    }
+
+    @Property(seed = "3", tries = 25)
+    void nodesFindEachOtherOverALossyNetwork(@ForAll long seed, @ForAll @IntRange(min = 2, max = 9) int count) {
+        Fleet fleet = fleet(seed, count);
+        fleet.loss = 0.2;
+        fleet.duplication = 0.2;
+        fleet.maxDelayMs = 200;
+        fleet.runFor(60_000);
+        fleet.loss = 0;
+        fleet.runFor(15_000);
+        assertThat(fleet.agreed()).isTrue();
+    }
+
+    @Property(seed = "4", tries = 25)
+    void partitionsHealAfterBothSidesTookTheOtherForDead(@ForAll long seed) {
+        Fleet fleet = fleet(seed, 6);
+        fleet.runFor(15_000);
+        fleet.partition =
+                java.util.Set.copyOf(new ArrayList<>(fleet.nodes.keySet()).subList(0, 1 + fleet.random.nextInt(5)));
+        fleet.runFor(60_000);
+        assertThat(fleet.agreed()).isFalse();
+        fleet.partition = java.util.Set.of();
+        fleet.runFor(30_000);
+        assertThat(fleet.agreed()).isTrue();
+    }
+
+    @Property(seed = "5", tries = 25)
+    void aPausedNodeReturnsAndADeadOneGoes(@ForAll long seed) {
+        Fleet fleet = fleet(seed, 5);
+        fleet.runFor(15_000);
+        List<String> ids = new ArrayList<>(fleet.nodes.keySet());
+        fleet.nodes.get(ids.get(0)).pausedUntilMs = fleet.nowMs + 40_000;
+        fleet.kill(ids.get(1));
+        fleet.runFor(39_000);
+        NodeId paused = new NodeId(ids.get(0));
+        assertThat(fleet.nodes.get(ids.get(2)).members.peers().alive()).doesNotContainKey(paused);
+        fleet.runFor(20_000);
+        assertThat(fleet.agreed()).isTrue();
+    }
+
+    @Property(seed = "6", tries = 25)
+    void aLeavingNodeIsNoPeerWithinSeconds(@ForAll long seed) {
+        Fleet fleet = fleet(seed, 8);
+        fleet.runFor(15_000);
+        String leaving = fleet.nodes.firstKey();
+        fleet.post(leaving, 0, new Lifecycle.StopRequested(30_000));
+        fleet.runFor(2_000);
+        fleet.nodes
+                .tailMap(leaving, false)
+                .values()
+                .forEach(n -> assertThat(n.members.peers().alive()).doesNotContainKey(new NodeId(leaving)));
+    }
+
+    private static Fleet fleet(long seed, int count) {
+        Fleet fleet = new Fleet(seed, Configuration.NONE);
+        for (int i = 0; i < count; i++) {
+            fleet.start("z" + i % 4);
+        }
+        return fleet;
+    }
+
+    private static MemberTable merge(MemberTable table, List<Update> updates) {
+        MemberTable next = table;
+        for (Update update : updates) {
+            next = next.merge(SELF, update, 0);
+        }
+        return next;
+    }
+
+    private static Update update(Random random) {
+        return new Update(
+                member(random.nextInt(4), random.nextInt(3), Status.values()[random.nextInt(4)]), random.nextInt(100));
+    }
+
+    private static Member member(int number, long incarnation, Status status) {
+        return new Member(new NodeId("m" + number), address(number + 2), new Zone("z"), incarnation, status);
+    }
+
+    private static Address address(int port) {
+        return new Address("127.0.0.1", port);
+    }
+}
