--- a/core/src/main/java/org/fuchsiadeck/core/request/Departures.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Departures.java
@@ -57,7 +57,7 @@
     private static void move(Turn turn, Exchange exchange, Departure departure) {
         Attempt attempt = exchange.attempt().get();
         BackendId from = attempt.backend().id();
-        History history = exchange.history().moved(attempt.written(), Cause.MOVE);
+        History history = exchange.history().abandoned(Cause.MOVE);
         Found found = Dispatcher.find(turn, exchange.with(history));
         if (found.choice().isEmpty()) {
             if (turn.nowMs() < departure.byMs()) {
--- a/core/src/main/java/org/fuchsiadeck/core/request/Dispatcher.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Dispatcher.java
@@ -71,14 +71,16 @@
         turn.schedule(due, new TimerFired(exchange.id(), Timer.CONNECT, number));
     }
 
-    /** A connection kept to a server at which one has just failed may be silently dead as well. */
+    /**
+     * Returns how recently a kept connection must have answered. What silenced one connection may have silenced others:
+     * to the same server, and to all servers from this node.
+     */
     private static long freshMs(Turn turn, Exchange exchange, Server server) {
         if (!server.health().clean()) {
             return 0;
         }
-        return exchange.idempotent()
-                ? turn.policy().connectionMaxAgeMs()
-                : turn.policy().freshConnectionMs();
+        boolean trusting = exchange.idempotent() && exchange.history().failures() == 0;
+        return trusting ? turn.policy().connectionMaxAgeMs() : turn.policy().freshConnectionMs();
     }
 
     private static long suspectMs(Turn turn) {
--- a/core/src/main/java/org/fuchsiadeck/core/request/Ending.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Ending.java
@@ -16,6 +16,7 @@
     private static final int BAD_GATEWAY = 502;
     private static final int GATEWAY_TIMEOUT = 504;
     private static final long RETRY_AFTER_MS = 1_000;
+    private static final String MAY_HAVE_RUN_DETAIL = "The request may have run.";
     private static final String NOT_RUN_DETAIL = "The request was not run.";
 
     private Ending() {}
@@ -25,10 +26,11 @@
         close(turn, exchange, Settlement.ANSWERED);
     }
 
-    /** Refuses a request of which it is proved that it was not run. */
+    /** Refuses a request, unless it may have run. */
     static void refuse(Turn turn, Exchange exchange, Refusal refusal) {
         if (exchange.mayHaveRun()) {
-            throw new IllegalStateException(exchange.id() + " may have run and cannot be refused as not run");
+            unknown(turn, exchange, BAD_GATEWAY, new EndReason(refusal.reason(), false, MAY_HAVE_RUN_DETAIL));
+            return;
         }
         if (!exchange.callerGone()) {
             refuseUnkept(turn, exchange.id(), refusal);
--- a/core/src/main/java/org/fuchsiadeck/core/request/History.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/History.java
@@ -61,7 +61,8 @@
         return new History(attempts, failures + 1, exposed || mayHaveRun, delivered, version, failedAt.add(at), then);
     }
 
-    History moved(boolean mayHaveRun, Cause then) {
-        return new History(attempts, failures, exposed || mayHaveRun, delivered, version, failedAt, then);
+    /** An attempt given up before the data path told how far it came may have run. */
+    History abandoned(Cause then) {
+        return new History(attempts, failures, true, delivered, version, failedAt, then);
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/request/Watchdog.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Watchdog.java
@@ -120,7 +120,7 @@
             Attempts.dropped(turn, exchange);
         }
         Exchange idle = exchange.idle();
-        Ending.fail(turn, idle.with(idle.history().moved(true, Cause.RETRY)), why);
+        Ending.fail(turn, idle.with(idle.history().abandoned(Cause.RETRY)), why);
     }
 
     private static Failure timeout(Attempt attempt, Failure.Step step) {
--- a/core/src/main/java/org/fuchsiadeck/core/routing/Fleet.java
+++ b/core/src/main/java/org/fuchsiadeck/core/routing/Fleet.java
@@ -33,6 +33,9 @@
     public static final Fleet EMPTY =
             new Fleet(HashMap.empty(), HashMap.empty(), HashMap.empty(), Peers.NONE, PrefixView.EMPTY);
 
+    /** Callers name models freely, so the pools have to be bounded. */
+    private static final int MAX_POOLS = 256;
+
     /**
      * Takes a new list of servers. A server known to leave keeps leaving, though the list calls it live.
      *
@@ -132,9 +135,10 @@
     public Fleet pooled(Need need, Identity self, Peers others) {
         boolean current = others == peers || others.equals(peers);
         Map<Need, Pool> kept = current ? pools : HashMap.empty();
-        if (kept.containsKey(need)) {
+        if (kept.get(need).exists(p -> !allLeaving(p))) {
             return this;
         }
+        Map<Need, Pool> room = kept.size() < MAX_POOLS ? kept : HashMap.empty();
         Array<Backend> able = servers.values()
                 .filter(Server::listed)
                 .map(Server::backend)
@@ -145,7 +149,7 @@
         for (Array<Backend> version : able.groupBy(Backend::version).values()) {
             part = part.appendAll(Subset.of(version, self.id(), others));
         }
-        return new Fleet(servers, departures, kept.put(need, Pool.of(part)), others, sent);
+        return new Fleet(servers, departures, room.put(need, Pool.of(part)), others, sent);
     }
 
     /**
@@ -158,6 +162,10 @@
         return departures.get(id).toJavaOptional();
     }
 
+    private boolean allLeaving(Pool pool) {
+        return !pool.all().isEmpty() && pool.all().forAll(departures::containsKey);
+    }
+
     private boolean unchanged(List<Backend> listed, long nowMs) {
         return listed.size() == servers.count(s -> s._2.listed())
                 && departures.values().forAll(d -> nowMs < d.heldUntilMs())
--- /dev/null
+++ b/core/src/test/java/org/fuchsiadeck/core/limit/ConcurrencyLimitTest.java
@@ -0,0 +1,46 @@
+package org.fuchsiadeck.core.limit;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ConcurrencyLimitTest {
+    @Test
+    void growsWhileUsedUpToTheMaximum() {
+        ConcurrencyLimit limit = ConcurrencyLimit.start(4, 8);
+        for (int i = 0; i < 100; i++) {
+            limit = limit.answered(i, 10, limit.allowed(8), 8);
+        }
+        assertThat(limit.allowed(8)).isEqualTo(8);
+    }
+
+    @Test
+    void doesNotGrowWhileIdle() {
+        ConcurrencyLimit limit = ConcurrencyLimit.start(4, 8);
+        for (int i = 0; i < 100; i++) {
+            limit = limit.answered(i, 10, 1, 8);
+        }
+        assertThat(limit.allowed(8)).isEqualTo(4);
+    }
+
+    @Test
+    void shrinksWhenLatencyRises() {
+        ConcurrencyLimit limit = ConcurrencyLimit.start(16, 32);
+        for (int i = 0; i < 50; i++) {
+            limit = limit.answered(i * 100, 10, 1, 32);
+        }
+        for (int i = 50; i < 80; i++) {
+            limit = limit.answered(i * 100, 500, 16, 32);
+        }
+        assertThat(limit.allowed(32)).isLessThan(8).isPositive();
+    }
+
+    @Test
+    void isCutOnceForABurstOfRefusals() {
+        ConcurrencyLimit limit = ConcurrencyLimit.start(10, 32);
+        for (int i = 0; i < 20; i++) {
+            limit = limit.overloaded(i);
+        }
+        assertThat(limit.allowed(32)).isEqualTo(8);
+    }
+}
--- a/core/src/test/java/org/fuchsiadeck/core/request/Harness.java
+++ b/core/src/test/java/org/fuchsiadeck/core/request/Harness.java
@@ -80,8 +80,9 @@
     }
 
     /** Advances the time and delivers the timers that are due, in their order. */
-    void advance(long ms) {
+    List<Effect> advance(long ms) {
         long end = nowMs + ms;
+        List<Effect> out = new ArrayList<>();
         while (true) {
             Optional<Effect.Schedule> next = effects.stream()
                     .filter(e -> e instanceof Effect.Schedule s && s.atMs() <= end)
@@ -89,11 +90,11 @@
                     .min((a, b) -> Long.compare(a.atMs(), b.atMs()));
             if (next.isEmpty()) {
                 nowMs = end;
-                return;
+                return out;
             }
             effects.remove(next.get());
             nowMs = Math.max(nowMs, next.get().atMs());
-            take(next.get().event());
+            out.addAll(take(next.get().event()));
         }
     }
 
--- /dev/null
+++ b/core/src/test/java/org/fuchsiadeck/core/routing/RouterTest.java
@@ -0,0 +1,129 @@
+package org.fuchsiadeck.core.routing;
+
+import java.util.List;
+import java.util.Set;
+
+import io.vavr.collection.Array;
+import io.vavr.collection.HashMap;
+import io.vavr.collection.Map;
+import org.fuchsiadeck.core.model.Address;
+import org.fuchsiadeck.core.model.Backend;
+import org.fuchsiadeck.core.model.BackendId;
+import org.fuchsiadeck.core.model.BackendReport;
+import org.fuchsiadeck.core.model.Zone;
+import org.fuchsiadeck.core.routing.Health.Evidence;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RouterTest {
+    private static final Zone NEAR = new Zone("near");
+    private Map<BackendId, Server> servers = HashMap.empty();
+    private PrefixView sent = PrefixView.EMPTY;
+
+    @Test
+    void prefersTheLessLoadedOfTwo() {
+        add("a", NEAR, 1, 3);
+        add("b", NEAR, 1, 0);
+        assertThat(counts(Router.betterOfTwo(), List.of())).containsExactly(0, 100);
+    }
+
+    @Test
+    void prefersTheNearZoneAndTheLowPriceAtEqualLoad() {
+        add("a", new Zone("far"), 1, 0);
+        add("b", NEAR, 1, 0);
+        assertThat(counts(Router.betterOfTwo(), List.of())).containsExactly(0, 100);
+        servers = HashMap.empty();
+        add("a", NEAR, 1, 0);
+        add("b", NEAR, 2, 0);
+        assertThat(counts(Router.betterOfTwo(), List.of())).containsExactly(100, 0);
+    }
+
+    @Test
+    void returnsToTheServerThatHoldsThePrefixUnlessItIsFarMoreLoaded() {
+        add("a", NEAR, 1, 1);
+        add("b", NEAR, 1, 0);
+        sent = sent.sent(List.of(1L, 2L, 3L), new BackendId("a"));
+        assertThat(counts(Router.betterOfTwo(), List.of(1L, 2L, 9L))).containsExactly(100, 0);
+        servers = HashMap.empty();
+        add("a", NEAR, 1, 3);
+        add("b", NEAR, 1, 0);
+        assertThat(counts(Router.betterOfTwo(), List.of(1L, 2L, 9L))).containsExactly(0, 100);
+    }
+
+    @Test
+    void countsTheWorkOfOthersForLessAsTheReportAges() {
+        BackendReport report = new BackendReport(3, 1, 0, false);
+        ReportedLoad load = ReportedLoad.of(report, 1, 0);
+        assertThat(load.estimate(0)).isEqualTo(3);
+        assertThat(load.estimate(2_500)).isEqualTo(1.5);
+        assertThat(load.estimate(60_000)).isZero();
+    }
+
+    @Test
+    void takesServersInTurnAsABaseline() {
+        add("a", NEAR, 1, 3);
+        add("b", NEAR, 1, 0);
+        assertThat(counts(Router.roundRobin(), List.of())).containsExactly(50, 50);
+        assertThat(counts(Router.leastInFlight(), List.of())).containsExactly(0, 100);
+    }
+
+    @Test
+    void suspectsNothingAfterOneSilentConnection() {
+        Health once = Health.GOOD.failed(Evidence.CONNECTION, false, 0, 2_000);
+        assertThat(once.suspected(0)).isFalse();
+        assertThat(once.clean()).isFalse();
+        Health twice = once.failed(Evidence.CONNECTION, false, 0, 2_000);
+        assertThat(twice.suspected(1_999)).isTrue();
+        assertThat(twice.trialDue(2_000)).isTrue();
+        assertThat(twice.dispatched(2_000).suspected(2_000)).isTrue();
+    }
+
+    @Test
+    void doublesTheSuspicionAfterAFailedTrial() {
+        Health suspected = Health.GOOD.failed(Evidence.SERVER, false, 0, 2_000);
+        Health again = suspected.dispatched(2_000).failed(Evidence.SERVER, true, 2_000, 2_000);
+        assertThat(again.suspected(5_999)).isTrue();
+        assertThat(again.suspected(6_000)).isFalse();
+    }
+
+    @Test
+    void forgetsTheOldestPrefixes() {
+        for (long i = 0; i < 10_000; i++) {
+            sent = sent.sent(List.of(i), new BackendId("a"));
+        }
+        assertThat(sent.holders(List.of(0L))).isEmpty();
+        assertThat(sent.holders(List.of(9_999L))).isNotEmpty();
+        assertThat(sent.order().size()).isEqualTo(sent.holders().size()).isLessThan(9_000);
+    }
+
+    private int[] counts(Router router, List<Long> prefix) {
+        Array<BackendId> ids = servers.keySet().toArray().sorted();
+        Candidates candidates = new Candidates(ids, servers::get);
+        int[] counts = new int[ids.size()];
+        for (int i = 0; i < 100; i++) {
+            Query query = new Query(0, NEAR, prefix, sent, SplitMix.draw(7, i), i);
+            Choice choice = router.choose(candidates, query).get();
+            counts[ids.indexOf(choice.server().backend().id())]++;
+        }
+        return counts;
+    }
+
+    private void add(String id, Zone zone, double price, int inFlight) {
+        Backend backend = new Backend(
+                new BackendId(id),
+                new Address("127.0.0.1", 1),
+                zone,
+                Backend.Kind.ENGINE,
+                "assistant",
+                "v1",
+                Set.of(),
+                Set.of(),
+                Set.of(),
+                4,
+                price,
+                true,
+                false);
+        servers = servers.put(backend.id(), Server.fresh(backend, 32).attempts(inFlight));
+    }
+}
