State what the data path reports after a cancel, and when ids clash

Cause: the page of the effects said that events of a cancelled attempt are not wanted, but its one AttemptFailed is what proves that no byte was written. Change: doc comments only.

--- a/core/src/main/java/org/fuchsiadeck/core/request/RequestEffect.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/RequestEffect.java
@@ -48,8 +48,9 @@
     }
 
     /**
-     * Gives up an attempt: closes its connection and cancels the work at the engine. Later events of the attempt are
-     * not wanted.
+     * Gives up an attempt: closes its connection and cancels the work at the engine. The data path then reports one
+     * {@link RequestEvent.AttemptFailed} with the step the attempt had reached, unless it had completed. Other events
+     * of the attempt are not wanted.
      *
      * @param id the request
      * @param attempt the attempt
--- a/core/src/main/java/org/fuchsiadeck/core/request/RequestEvent.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/RequestEvent.java
@@ -20,7 +20,8 @@
     RequestId id();
 
     /**
-     * A caller's request is whole and waits for a decision.
+     * A caller's request is whole and waits for a decision. Ignored if a request with the id is in progress: the data
+     * path gives a request another id, or refuses it, when the caller's own is in use.
      *
      * @param id the request
      * @param call what the caller asks for
@@ -57,7 +58,7 @@
     record AnswerStarted(RequestId id, int attempt, Optional<BackendReport> report) implements RequestEvent {}
 
     /**
-     * Tokens were passed on to the caller. Reported in batches.
+     * Tokens were passed on to the caller. Reported in batches, several in each chunk timeout while tokens flow.
      *
      * @param id the request
      * @param attempt the attempt
