Report every end of an attempt truthfully, and bound what callers may hold

Cause: the thin daemon had no tests of failures. They showed: a connection given up with bytes still queued stayed open, since Grizzly's closeSilently waits for the queue; a slow but steady caller seemed to stall, because the system's send buffer grew to 4 MiB and says "writable" only when a third of it is free; a bad answer of a backend server came up as CLOSED and left a stack trace in the log; a refusal of HTTP/9.9 had status 505, which docs/HTTP.md does not list. Ruled out: a longer stall limit, because it lets silent callers hold connections; a lost wake-up between the exchange and the writer, by reading both sides at the hang.

--- a/node/src/main/java/org/fuchsiadeck/node/Node.java
+++ b/node/src/main/java/org/fuchsiadeck/node/Node.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -50,6 +51,7 @@
     private final Effects effects = new Effects();
     private final EventLoop loop;
     private final Drain drain;
+    private final AtomicBoolean started = new AtomicBoolean();
     private BackendClient backends;
     private CallerServer callers;
     private InstanceList instances;
@@ -108,6 +110,7 @@
         Housekeeping chores = closer.add(new Housekeeping());
         chores.every(settings.cloudPollMs(), instances::poll);
         chores.every(SWEEP_MS, this::sweep);
+        started.set(true);
         log.write(EventCode.NODE_STARTED, settings.identity().id() + " callers " + settings.callers());
     }
 
@@ -149,7 +152,9 @@
     @Override
     public void close() {
         closer.close();
-        log.write(EventCode.NODE_STOPPED, settings.identity().id().toString());
+        if (started.compareAndSet(true, false)) {
+            log.write(EventCode.NODE_STOPPED, settings.identity().id().toString());
+        }
     }
 
     private void beginDrain(long noticeMs) {
--- a/node/src/main/java/org/fuchsiadeck/node/backend/Attempt.java
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/Attempt.java
@@ -160,6 +160,12 @@
         fail(Kind.BAD_ANSWER, e.getMessage());
     }
 
+    @Override
+    public void onBroken(String detail) {
+        setStreaming();
+        fail(Kind.BAD_ANSWER, detail);
+    }
+
     @Override
     public void onLost(String detail) {
         fail(Kind.CLOSED, detail);
--- a/node/src/main/java/org/fuchsiadeck/node/backend/BackendClient.java
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/BackendClient.java
@@ -21,6 +21,7 @@
 import org.fuchsiadeck.node.exchange.Journal;
 import org.fuchsiadeck.node.run.EffectHandler;
 import org.fuchsiadeck.node.run.EventSink;
+import org.glassfish.grizzly.http.HttpPacket;
 
 /**
  * Sends requests to backend servers and reports what becomes of each attempt.
@@ -67,14 +68,17 @@
         CallerRequest call = exchange.call();
         Journal journal = exchange.journal();
         Route route = config.route(call.method(), call.path()).orElse(null);
-        Attempt attempt = new Attempt(
-                exchange, dispatch, RequestWriter.write(exchange, dispatch, route, journal), journal.tokens(), io);
+        HttpPacket request = RequestWriter.write(exchange, dispatch, route, journal);
+        Attempt attempt = new Attempt(exchange, dispatch, request, journal.tokens(), io);
         if (!exchange.open(dispatch.attempt(), attempt)) {
             return;
         }
         attempts.inc();
+        connect(attempt, dispatch, config.defaults().connectionMaxAgeMs());
+    }
+
+    private void connect(Attempt attempt, RequestEffect.Dispatch dispatch, long maxAgeMs) {
         Address address = dispatch.backend().address();
-        long maxAgeMs = config.defaults().connectionMaxAgeMs();
         Optional<HttpConnection> kept = io.pool().take(address, dispatch.freshMs(), maxAgeMs);
         if (kept.isPresent()) {
             reused.inc();
@@ -94,6 +98,7 @@
         AttemptControl control = exchange.control(attempt);
         if (control != null) {
             control.fail(Failure.Kind.CLOSED, "cancelled");
+            exchange.forget(attempt);
         }
     }
 
--- a/node/src/main/java/org/fuchsiadeck/node/client/AnswerFilter.java
+++ b/node/src/main/java/org/fuchsiadeck/node/client/AnswerFilter.java
@@ -16,7 +16,7 @@
         HttpContent content = ctx.getMessage();
         HttpConnection connection = HttpConnection.find(ctx.getConnection());
         if (connection == null || HttpContent.isBroken(content)) {
-            ctx.getConnection().closeSilently();
+            ctx.getConnection().terminateSilently();
             return ctx.getStopAction();
         }
         connection.received(content);
--- a/node/src/main/java/org/fuchsiadeck/node/client/AnswerListener.java
+++ b/node/src/main/java/org/fuchsiadeck/node/client/AnswerListener.java
@@ -22,6 +22,13 @@
      */
     void onBody(Buffer part);
 
+    /**
+     * The answer is not valid HTTP. The connection is closed.
+     *
+     * @param detail what was seen
+     */
+    void onBroken(String detail);
+
     /** The answer is whole. */
     void onEnd();
 
--- a/node/src/main/java/org/fuchsiadeck/node/client/HttpClient.java
+++ b/node/src/main/java/org/fuchsiadeck/node/client/HttpClient.java
@@ -9,7 +9,6 @@
 import org.glassfish.grizzly.filterchain.FilterChain;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.filterchain.TransportFilter;
-import org.glassfish.grizzly.http.HttpClientFilter;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
@@ -53,7 +52,7 @@
                 .build();
         FilterChain chain = FilterChainBuilder.stateless()
                 .add(new TransportFilter())
-                .add(new HttpClientFilter(MAX_HEAD_BYTES))
+                .add(new AnswerCodec(MAX_HEAD_BYTES))
                 .add(new AnswerFilter())
                 .build();
         transport.start();
--- a/node/src/main/java/org/fuchsiadeck/node/client/HttpConnection.java
+++ b/node/src/main/java/org/fuchsiadeck/node/client/HttpConnection.java
@@ -127,7 +127,7 @@
 
     /** Closes the connection. An answer in progress is reported as lost. */
     public void close() {
-        connection.closeSilently();
+        connection.terminateSilently();
         resumeReading();
     }
 
@@ -207,6 +207,14 @@
         return ctx.getStopAction();
     }
 
+    void broken(String detail) {
+        AnswerListener current = current();
+        if (current != null && take(current)) {
+            current.onBroken(detail);
+        }
+        close();
+    }
+
     void closed() {
         lose("the connection closed");
         onClosed.run();
--- a/node/src/main/java/org/fuchsiadeck/node/client/PlainCall.java
+++ b/node/src/main/java/org/fuchsiadeck/node/client/PlainCall.java
@@ -114,6 +114,11 @@
         body.writeBytes(copy);
     }
 
+    @Override
+    public void onBroken(String detail) {
+        end(Either.left(detail));
+    }
+
     @Override
     public void onEnd() {
         end(Either.right(body.toByteArray()));
--- a/node/src/main/java/org/fuchsiadeck/node/exchange/Exchange.java
+++ b/node/src/main/java/org/fuchsiadeck/node/exchange/Exchange.java
@@ -30,7 +30,7 @@
     private Inbox relayed;
     private int delivered;
     private int reported;
-    private long reportedNanos = System.nanoTime();
+    private long reportedNanos = System.nanoTime() - PROGRESS_NANOS;
     private boolean released;
 
     /**
--- a/node/src/main/java/org/fuchsiadeck/node/front/CallerCodec.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerCodec.java
@@ -53,6 +53,9 @@
     protected HttpContent customizeErrorResponse(HttpResponsePacket response) {
         String id = ids.next().value();
         boolean large = response.getStatus() == TOO_LARGE;
+        if (!large) {
+            HttpStatus.BAD_REQUEST_400.setValues(response);
+        }
         Refusal refusal = Refusal.notRun(
                 response.getStatus(),
                 large ? "headers_too_large" : "bad_request",
--- a/node/src/main/java/org/fuchsiadeck/node/front/CallerConnection.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerConnection.java
@@ -5,6 +5,7 @@
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 
+import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.IOEvent;
@@ -21,6 +22,9 @@
     private static final Attribute<CallerConnection> ATTRIBUTE =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute(CallerConnection.class.getName());
 
+    /** The least rate at which a caller has to send or take, in bytes per millisecond. */
+    static final int SLOWEST_BYTES_PER_MS = 32;
+
     /** What the connection waits for. */
     private enum Phase {
         IDLE,
@@ -32,6 +36,7 @@
     private final Queue<FilterChainContext> ahead = new ArrayDeque<>();
     private Phase phase = Phase.IDLE;
     private long sinceNanos = System.nanoTime();
+    private long receivedBytes;
     private CallerResponse response;
     private Runnable onGone = () -> {};
     private Runnable onSlow;
@@ -59,7 +64,9 @@
         if (phase == Phase.IDLE) {
             phase = Phase.READING;
             sinceNanos = System.nanoTime();
+            receivedBytes = 0;
         }
+        receivedBytes += ((Buffer) ctx.getMessage()).remaining();
         return false;
     }
 
@@ -137,22 +144,23 @@
         boolean close;
         synchronized (this) {
             long waitedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sinceNanos);
-            slow = phase == Phase.READING && waitedMs > slowMs ? onSlow : null;
-            close = slow == null && isStalled(waitedMs, slowMs, idleMs);
+            boolean stalled = isStalled(waitedMs, slowMs, idleMs);
+            slow = stalled && phase == Phase.READING ? onSlow : null;
+            close = stalled && slow == null;
         }
         if (slow != null) {
             slow.run();
         }
         if (close) {
-            connection.closeSilently();
+            connection.terminateSilently();
         }
     }
 
     private boolean isStalled(long waitedMs, long slowMs, long idleMs) {
         return switch (phase) {
             case IDLE -> waitedMs > idleMs;
-            case READING -> waitedMs > slowMs;
-            case ANSWERING -> response != null && response.blockedMs() > slowMs;
+            case READING -> waitedMs > slowMs + receivedBytes / SLOWEST_BYTES_PER_MS;
+            case ANSWERING -> response != null && response.isStalled(slowMs);
         };
     }
 }
--- a/node/src/main/java/org/fuchsiadeck/node/front/CallerHandler.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerHandler.java
@@ -23,6 +23,8 @@
 import org.fuchsiadeck.node.exchange.Refusal;
 import org.fuchsiadeck.node.run.EffectHandler;
 import org.fuchsiadeck.node.run.EventSink;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.RequestExecutorProvider;
@@ -81,7 +83,7 @@
         CallerResponse answer =
                 new CallerResponse(response, request.getContext().getConnection(), id, pump, draining);
         connection.begin(answer, () -> refuse(answer, slow(), true));
-        request.addAfterServiceListener(r -> connection.answered());
+        request.addAfterServiceListener(r -> whenFlushed(r, connection::answered));
         if (bad != null) {
             refuse(answer, bad.refusal(), true);
             return;
@@ -93,6 +95,20 @@
         }
     }
 
+    private static void whenFlushed(Request request, Runnable action) {
+        request.getContext().notifyDownstream(TransportFilter.createFlushEvent(new EmptyCompletionHandler<>() {
+            @Override
+            public void completed(Object result) {
+                action.run();
+            }
+
+            @Override
+            public void failed(Throwable error) {
+                action.run();
+            }
+        }));
+    }
+
     private record Call(RequestId id, CallerResponse answer, CallerConnection connection) {}
 
     private void read(Request request, Call call) throws BadCallException {
@@ -169,6 +185,9 @@
     }
 
     private void refuse(CallerResponse answer, Refusal refusal, boolean close) {
+        if (answer.isEnding()) {
+            return;
+        }
         metrics.counter("front.refused." + refusal.reason()).inc();
         log.handle(new Effect.Log(EventCode.BAD_REQUEST, refusal.status() + " " + refusal.reason()));
         answer.refuse(refusal, close);
--- a/node/src/main/java/org/fuchsiadeck/node/front/CallerResponse.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerResponse.java
@@ -39,6 +39,7 @@
     private boolean scheduled;
     private boolean wasFull;
     private long blockedNanos;
+    private int blockedBytes;
     private Runnable drained = () -> {};
 
     /**
@@ -126,7 +127,7 @@
             ending = true;
             finished = true;
         }
-        connection.closeSilently();
+        connection.terminateSilently();
     }
 
     @Override
@@ -151,9 +152,11 @@
         return ending;
     }
 
-    /** Returns for how long the caller has taken no bytes, in milliseconds; 0 if none wait. */
-    synchronized long blockedMs() {
-        return blockedNanos == 0 ? 0 : TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - blockedNanos);
+    /** Tells whether bytes have waited for the caller for too long. */
+    synchronized boolean isStalled(long slowMs) {
+        long blockedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - blockedNanos);
+        long bytesAhead = blockedBytes + (long) ConnectionGuard.SEND_BUFFER_BYTES;
+        return blockedNanos != 0 && blockedMs > slowMs + bytesAhead / CallerConnection.SLOWEST_BYTES_PER_MS;
     }
 
     private void finish(byte[] last) {
@@ -175,7 +178,7 @@
                 runDrained();
             }
         } catch (IOException | RuntimeException e) {
-            connection.closeSilently();
+            connection.terminateSilently();
         }
         runDrained();
     }
@@ -195,10 +198,11 @@
                 out.notifyCanWrite(new Resume());
                 return false;
             }
-            blockedNanos = 0;
             batch = waiting.toByteArray();
             waiting.reset();
             last = ending;
+            blockedNanos = last ? System.nanoTime() : 0;
+            blockedBytes = batch.length;
             finished = last;
             first = !headWritten;
             headWritten = true;
@@ -259,7 +263,7 @@
 
         @Override
         public void onError(Throwable error) {
-            connection.closeSilently();
+            connection.terminateSilently();
         }
     }
 }
--- a/node/src/main/java/org/fuchsiadeck/node/front/ConnectionGuard.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/ConnectionGuard.java
@@ -1,6 +1,8 @@
 package org.fuchsiadeck.node.front;
 
 import java.io.IOException;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -8,11 +10,15 @@
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.nio.NIOConnection;
 
 /**
  * Watches the callers' connections beneath HTTP: limits their number, and notices those that close or stall.
  */
 final class ConnectionGuard extends BaseFilter {
+    /** Bytes that the system may hold for a caller; with more, a caller that takes bytes slowly would seem to stall. */
+    static final int SEND_BUFFER_BYTES = 32 << 10;
+
     private static final long IDLE_MS = 60_000;
 
     private final Set<Connection<?>> open = ConcurrentHashMap.newKeySet();
@@ -26,13 +32,15 @@
     }
 
     @Override
-    public NextAction handleAccept(FilterChainContext ctx) {
+    public NextAction handleAccept(FilterChainContext ctx) throws IOException {
         Connection<?> connection = ctx.getConnection();
         if (open.size() >= maxConnections) {
-            connection.closeSilently();
+            connection.terminateSilently();
             return ctx.getStopAction();
         }
         open.add(connection);
+        SocketChannel channel = (SocketChannel) ((NIOConnection) connection).getChannel();
+        channel.setOption(StandardSocketOptions.SO_SNDBUF, SEND_BUFFER_BYTES);
         CallerConnection.of(connection);
         return ctx.getInvokeAction();
     }
--- a/node/src/main/java/org/fuchsiadeck/node/operator/StateJson.java
+++ b/node/src/main/java/org/fuchsiadeck/node/operator/StateJson.java
@@ -13,6 +13,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.Tuple2;
 import io.vavr.control.Option;
+import org.fuchsiadeck.core.model.Address;
 
 /**
  * Turns a state of records and collections into JSON. Works on any such state; what is too deep or too long is cut and
@@ -65,7 +66,8 @@
         if (value instanceof Boolean flag) {
             return JSON.booleanNode(flag);
         }
-        return value instanceof CharSequence || value instanceof Enum ? text(value) : null;
+        boolean isText = value instanceof CharSequence || value instanceof Enum || value instanceof Address;
+        return isText ? text(value) : null;
     }
 
     private static JsonNode optional(Object value, int depth) {
--- /dev/null
+++ b/node/src/test/java/org/fuchsiadeck/node/backend/EngineStreamTest.java
@@ -0,0 +1,55 @@
+package org.fuchsiadeck.node.backend;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+import org.fuchsiadeck.core.model.BackendReport;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.memory.MemoryManager;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+class EngineStreamTest {
+    private static final String STREAM = ": hello\n\ndata: {\"i\":0,\"t\":\"রহিম \"}\r\n\r\n"
+            + "event: x\ndata:{\"t\":\"\\n\\n\",\"i\":1}\n\ndata: {\"done\":true,\"tokens\":2}\n\n";
+
+    @Test
+    void findsTheSameEventsWhereverTheReadsEnd() throws Exception {
+        byte[] bytes = STREAM.getBytes(StandardCharsets.UTF_8);
+        for (int cut = 0; cut <= bytes.length; cut++) {
+            List<String> texts = new ArrayList<>();
+            List<Integer> ends = new ArrayList<>();
+            StreamReply.Sink sink =
+                    new StreamReply.Sink(t -> texts.add(t.text()), e -> ends.add(e.delivered()), e -> {});
+            StreamReply reply = new StreamReply(0, sink);
+            feed(reply, Arrays.copyOfRange(bytes, 0, cut));
+            feed(reply, Arrays.copyOfRange(bytes, cut, bytes.length));
+            reply.end();
+            assertThat(texts).containsExactly("রহিম ", "\n\n");
+            assertThat(ends).containsExactly(2);
+        }
+    }
+
+    @Test
+    void refusesAnEventWithoutEnd() {
+        StreamReply reply = new StreamReply(0, new StreamReply.Sink(t -> {}, e -> {}, e -> {}));
+        assertThatThrownBy(() -> feed(reply, "x".repeat(100_000).getBytes(StandardCharsets.UTF_8)))
+                .isInstanceOf(BadAnswerException.class);
+    }
+
+    @Test
+    void readsTheReportedLoad() {
+        assertThat(LoadHeader.parse("running=2; queued=0;age_ms=7;leaving=0"))
+                .contains(new BackendReport(2, 0, 7, false));
+        assertThat(LoadHeader.parse("running=x;queued=0;age_ms=7;leaving=0")).isEmpty();
+        assertThat(LoadHeader.parse("fast")).isEmpty();
+    }
+
+    private static void feed(StreamReply reply, byte[] part) throws BadAnswerException {
+        reply.body(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, part));
+    }
+}
--- a/node/src/test/java/org/fuchsiadeck/node/testing/Caller.java
+++ b/node/src/test/java/org/fuchsiadeck/node/testing/Caller.java
@@ -1,6 +1,8 @@
 package org.fuchsiadeck.node.testing;
 
+import java.io.BufferedInputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 
@@ -9,10 +11,12 @@
 /** A caller on a raw socket. */
 public final class Caller implements AutoCloseable {
     public final Socket socket;
+    private final InputStream in;
 
     public Caller(Address address) throws IOException {
         socket = new Socket(address.host(), address.port());
         socket.setSoTimeout(15_000);
+        in = new BufferedInputStream(socket.getInputStream());
     }
 
     public Caller send(String text) throws IOException {
@@ -37,7 +41,7 @@
     }
 
     public Sockets.Message answer() throws IOException {
-        return Sockets.read(socket.getInputStream());
+        return Sockets.read(in);
     }
 
     @Override
