Mend two compiler warnings

Cause: a raw Grizzly type outside its suppression, and a deprecated Jackson call. Change: the suppression covers the class; properties() in place of fields(). Conclusion: the modules compile without warnings in these packages.

--- a/cli/src/main/java/org/fuchsiadeck/cli/JsonTable.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/JsonTable.java
@@ -47,7 +47,7 @@
 
     private static List<List<String>> object(JsonNode json) {
         List<List<String>> rows = new ArrayList<>();
-        json.fields().forEachRemaining(f -> rows.add(List.of(f.getKey(), cell(f.getValue()))));
+        json.properties().forEach(f -> rows.add(List.of(f.getKey(), cell(f.getValue()))));
         return rows;
     }
 
--- a/node/src/main/java/org/fuchsiadeck/node/platform/HttpCalls.java
+++ b/node/src/main/java/org/fuchsiadeck/node/platform/HttpCalls.java
@@ -87,6 +87,7 @@
     }
 
     /** Writes the request once the connection is open. */
+    @SuppressWarnings({"unchecked", "rawtypes"})
     private final class Connected extends EmptyCompletionHandler<Connection> {
         private final PendingCall call;
 
@@ -95,7 +96,6 @@
         }
 
         @Override
-        @SuppressWarnings({"unchecked", "rawtypes"})
         public void completed(Connection connection) {
             pending.set(connection, call);
             if (call.begin(connection)) {
