Grant claims in the node's tests

Cause: NodeTest.passesAPlainAnswerOnWhole timed out: its keyed entry waits for a claim, and the test reduces requests only. Ruled out: the data path (the request never was dispatched). Change: the test node grants every claim, as owners would; no check is changed.

--- a/node/src/test/java/org/fuchsiadeck/node/testing/TestNode.java
+++ b/node/src/test/java/org/fuchsiadeck/node/testing/TestNode.java
@@ -17,6 +17,7 @@
 import org.fuchsiadeck.core.NodeState;
 import org.fuchsiadeck.core.Step;
 import org.fuchsiadeck.core.View;
+import org.fuchsiadeck.core.claim.ClaimEvent;
 import org.fuchsiadeck.core.config.Configuration;
 import org.fuchsiadeck.core.config.Policy;
 import org.fuchsiadeck.core.config.Route;
@@ -26,6 +27,7 @@
 import org.fuchsiadeck.core.model.Peers;
 import org.fuchsiadeck.core.model.VersionShares;
 import org.fuchsiadeck.core.model.Zone;
+import org.fuchsiadeck.core.request.RequestEvent;
 import org.fuchsiadeck.core.request.RequestReducer;
 import org.fuchsiadeck.core.request.RequestState;
 import org.fuchsiadeck.node.Node;
@@ -97,6 +99,7 @@
             for (Effect effect : step.effects()) {
                 if (effect instanceof Effect.Raise raise) {
                     raised.add(raise.event());
+                    grant(raise.event()).ifPresent(raised::add);
                 } else {
                     effects.add(effect);
                 }
@@ -107,6 +110,13 @@
         return new Step<>(next, effects);
     }
 
+    /** Grants every claim, as the owners of the keys would. */
+    private static Optional<Event> grant(Event event) {
+        return event instanceof ClaimEvent.Wanted wanted
+                ? Optional.of(new RequestEvent.ClaimGranted(wanted.id()))
+                : Optional.empty();
+    }
+
     private static Settings settings(Address list) {
         return new Settings(
                 new Identity(new NodeId("n1"), new Zone("dumdum"), Sockets.freeAddress(), 1),
