Read claims from an owner past many expired ones; codecs for claims

Ruled out: ending the pull on an empty answer (claims after the expired ones would be lost to the new owner). Change: expired claims are skipped when an answer is filled; an answer without claims must be the last, or is refused as malformed. A list of instances that does not name the node itself no longer counts as evidence against others.

--- a/core/src/main/java/org/fuchsiadeck/core/claim/ClaimMessage.java
+++ b/core/src/main/java/org/fuchsiadeck/core/claim/ClaimMessage.java
@@ -129,7 +129,7 @@
      * @param newest the newest roster of the pull, by its {@link Roster#basedOn}
      * @param afterKey the key after which the claims begin, as asked
      * @param claims the claims, in the order of their keys
-     * @param last whether there are no more claims after these
+     * @param last whether there are no more claims after these; must be so if there are none
      * @param revision the rosters the sender knows
      */
     record PullReply(long newest, String afterKey, List<HeldClaim> claims, boolean last, long revision)
@@ -137,6 +137,9 @@
         public PullReply {
             requireNonNull(afterKey, "afterKey");
             claims = List.copyOf(claims);
+            if (claims.isEmpty() && !last) {
+                throw new IllegalArgumentException("a reply without claims must be the last");
+            }
         }
     }
 
--- a/core/src/main/java/org/fuchsiadeck/core/claim/ClaimReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/claim/ClaimReducer.java
@@ -103,10 +103,12 @@
         see(turn, new Sight(sight.leaving(), sight.selfLeaving(), absentMs, sight.unlistedMs()));
     }
 
+    /** A list that does not name this node says nothing of the others: it may name nodes in another way. */
     private static void listed(Turn turn, PlatformEvent.Listed listed) {
         HashSet<NodeId> ids = HashSet.ofAll(listed.nodes()).map(Peer::id);
         Sight sight = turn.state.upkeep().sight();
-        Vector<NodeId> unlisted = ids.isEmpty() ? Vector.empty() : members(turn).filter(id -> !ids.contains(id));
+        Vector<NodeId> unlisted =
+                ids.contains(turn.self) ? members(turn).filter(id -> !ids.contains(id)) : Vector.empty();
         TreeMap<NodeId, Long> unlistedMs = RosterKeeper.track(sight.unlistedMs(), unlisted, turn.nowMs);
         see(turn, new Sight(sight.leaving(), sight.selfLeaving(), sight.absentMs(), unlistedMs));
     }
--- a/core/src/main/java/org/fuchsiadeck/core/claim/RosterChain.java
+++ b/core/src/main/java/org/fuchsiadeck/core/claim/RosterChain.java
@@ -19,6 +19,27 @@
         Checks.inRange(rosters.size(), 1, Integer.MAX_VALUE, "number of rosters");
     }
 
+    /**
+     * Reads rosters from their text form.
+     *
+     * @param revision the revision of the write
+     * @param text the text
+     * @return the rosters
+     * @throws IllegalArgumentException if the text is not in the form that {@link #text} gives
+     */
+    public static RosterChain parse(long revision, String text) {
+        return RosterText.read(revision, text);
+    }
+
+    /**
+     * Returns the text form, as it stands in the platform's service.
+     *
+     * @return the text, without the revision
+     */
+    public String text() {
+        return RosterText.write(rosters);
+    }
+
     Roster newest() {
         return rosters.last();
     }
--- a/core/src/main/java/org/fuchsiadeck/core/claim/RosterSync.java
+++ b/core/src/main/java/org/fuchsiadeck/core/claim/RosterSync.java
@@ -136,7 +136,10 @@
         Vector<String> keys = turn.state
                 .ledger()
                 .keysAfter(
-                        pull.afterKey(), KEYS_PER_REPLY, k -> newest.owners(k).contains(from));
+                        pull.afterKey(),
+                        KEYS_PER_REPLY,
+                        k -> newest.owners(k).contains(from)
+                                && Owner.held(turn, k).nonEmpty());
         Vector<HeldClaim> claims = keys.flatMap(k -> Owner.held(turn, k));
         boolean last = keys.size() < KEYS_PER_REPLY;
         turn.send(from, new PullReply(newest.basedOn(), pull.afterKey(), claims.asJava(), last, turn.state.revision()));
--- /dev/null
+++ b/node/src/test/java/org/fuchsiadeck/node/peer/PeerCodecsTest.java
@@ -0,0 +1,91 @@
+package org.fuchsiadeck.node.peer;
+
+import java.util.List;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import org.fuchsiadeck.core.PeerMessage;
+import org.fuchsiadeck.core.claim.ClaimId;
+import org.fuchsiadeck.core.claim.ClaimMessage;
+import org.fuchsiadeck.core.claim.ClaimStatus;
+import org.fuchsiadeck.core.claim.RosterChain;
+import org.fuchsiadeck.core.membership.Member;
+import org.fuchsiadeck.core.membership.MembershipMessage;
+import org.fuchsiadeck.core.model.Address;
+import org.fuchsiadeck.core.model.NodeId;
+import org.fuchsiadeck.core.model.Zone;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+class PeerCodecsTest {
+    private static final PeerCodecs CODECS = new PeerCodecs(List.of(MembershipCodecs.all(), ClaimCodecs.all()));
+    private static final ClaimId ID = new ClaimId(new NodeId("a"), 7);
+
+    @ParameterizedTest
+    @MethodSource("messages")
+    void readsBackWhatItWrites(PeerMessage message) throws InvalidProtocolBufferException {
+        assertThat(readBack(message)).isEqualTo(message);
+    }
+
+    @ParameterizedTest
+    @EnumSource(ClaimMessage.Verdict.class)
+    void readsBackEveryVerdict(ClaimMessage.Verdict verdict) throws InvalidProtocolBufferException {
+        PeerMessage reply = new ClaimMessage.Reply(ID, verdict, 3);
+        assertThat(readBack(reply)).isEqualTo(reply);
+    }
+
+    @ParameterizedTest
+    @EnumSource(ClaimStatus.class)
+    void readsBackEveryStatus(ClaimStatus status) throws InvalidProtocolBufferException {
+        PeerMessage settle = new ClaimMessage.Settle(ID, "k", status);
+        assertThat(readBack(settle)).isEqualTo(settle);
+    }
+
+    @ParameterizedTest
+    @EnumSource(Member.Status.class)
+    void readsBackEveryMemberStatus(Member.Status status) throws InvalidProtocolBufferException {
+        PeerMessage ping = new MembershipMessage.Ping(
+                1, member(Member.Status.ALIVE), List.of(new MembershipMessage.Update(member(status), 9)));
+        assertThat(readBack(ping)).isEqualTo(ping);
+    }
+
+    @Test
+    void refusesAnEmptyPayloadWhereFieldsAreNeeded() {
+        for (MessageCodec<?> codec : MembershipCodecs.all()) {
+            assertThatThrownBy(() -> codec.decode().decode(ByteString.EMPTY))
+                    .isInstanceOf(IllegalArgumentException.class);
+        }
+    }
+
+    static List<PeerMessage> messages() {
+        Member a = member(Member.Status.ALIVE);
+        Member b = member(Member.Status.SUSPECT);
+        RosterChain chain = RosterChain.parse(9, "roster\t0\na\t127.0.0.1:1\tz\nroster\t4\nb\t127.0.0.1:2\tz\n");
+        ClaimMessage.HeldClaim held = new ClaimMessage.HeldClaim("k", ID, ClaimStatus.UNKNOWN, 5, 6);
+        return List.of(
+                new MembershipMessage.Ack(2, a, b, List.of()),
+                new MembershipMessage.PingRequest(3, a, b, List.of()),
+                new MembershipMessage.Sync(true, a, List.of(new MembershipMessage.Update(b, 0))),
+                new ClaimMessage.Request(ID, "k", 9),
+                new ClaimMessage.SettleAck(ID),
+                new ClaimMessage.RosterNews(chain),
+                new ClaimMessage.Digest(true, 5, 9, -1, List.of(0L, 4L)),
+                new ClaimMessage.Pull(chain, ""),
+                new ClaimMessage.PullReply(4, "j", List.of(held), true, 9));
+    }
+
+    private static Member member(Member.Status status) {
+        return new Member(new NodeId("a"), new Address("127.0.0.1", 1), new Zone("z"), 4, status);
+    }
+
+    private static PeerMessage readBack(PeerMessage message) throws InvalidProtocolBufferException {
+        MessageCodec<?> codec = CODECS.of(message);
+        assertThat(CODECS.of(codec.number())).contains(codec);
+        return codec.decode().decode(codec.encoded(message));
+    }
+}
