--- a/node/src/main/java/org/fuchsiadeck/node/Parts.java
+++ b/node/src/main/java/org/fuchsiadeck/node/Parts.java
@@ -91,6 +91,9 @@
     private static List<String> unready(NodeState state) {
         List<String> reasons = new ArrayList<>(state.config().unready());
         reasons.addAll(state.rollouts().unready());
+        if (state.claims().chain().isEmpty()) {
+            reasons.add("the owners of idempotency keys are not known");
+        }
         return reasons;
     }
 }
