Say not run when every backend server refused

Cause: a refusal (503 with X-Not-Run) is read from the head of the answer, and the data path reports it at step STREAMING. Extent.of looked at the step first and called that BEGUN, so that a refused meal entry was neither tried elsewhere nor answered as not run, but as 502 unknown. Ruled out: reporting AWAITING from the data path, which would hide that bytes of the answer had come; an application that ran the entry (its own count was 0). Change: a refusal counts as REFUSED unless the answer had started. Before: RequestReducerTest.retriesAnUnrepeatableRequestWhoseRefusalWasReadFromTheHeadOfTheAnswer found no second dispatch; the scenario got status=502, outcome=unknown, error=backend_refused_not_run. After: both as promised; RequestReducerTest 20 and RequestPropertiesTest 2 tests green. Conclusion: the retry rule for refusals holds on real processes, not only in the model, which reported AWAITING.

--- a/core/src/main/java/org/fuchsiadeck/core/request/Extent.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Extent.java
@@ -21,12 +21,16 @@
      * @return the extent; the greater one if the attempt and its failure disagree
      */
     static Extent of(Attempt attempt, Failure failure) {
-        if (failure.step() == Failure.Step.STREAMING || attempt.firstByteMs() >= 0) {
+        if (attempt.firstByteMs() >= 0) {
             return BEGUN;
         }
+        // A refusal is read from the head of the answer, and nothing after it is.
         if (failure.kind() == Failure.Kind.REFUSED_NOT_RUN) {
             return REFUSED;
         }
+        if (failure.step() == Failure.Step.STREAMING) {
+            return BEGUN;
+        }
         return failure.step() == Failure.Step.CONNECTING && !attempt.written() ? NOT_WRITTEN : WRITTEN;
     }
 }
--- a/core/src/test/java/org/fuchsiadeck/core/request/RequestReducerTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/request/RequestReducerTest.java
@@ -89,6 +89,21 @@
         assertThat(last.outcome()).isEqualTo(Outcome.NOT_RUN);
     }
 
+    @Test
+    void retriesAnUnrepeatableRequestWhoseRefusalWasReadFromTheHeadOfTheAnswer() {
+        node.list(apps(2));
+        node.arrive("r", MEAL);
+        node.writing("r", 1);
+        assertThat(dispatch(node.failed("r", 1, Step.STREAMING, Kind.REFUSED_NOT_RUN))
+                        .attempt())
+                .isEqualTo(2);
+        node.writing("r", 2);
+        node.failed("r", 2, Step.STREAMING, Kind.REFUSED_NOT_RUN);
+        node.writing("r", 3);
+        RequestEffect.Respond last = respond(node.failed("r", 3, Step.STREAMING, Kind.REFUSED_NOT_RUN));
+        assertThat(last.outcome()).isEqualTo(Outcome.NOT_RUN);
+    }
+
     @Test
     void neverRepeatsNorRefusesAnUnrepeatableRequestThatWasWritten() {
         node.list(apps(3));
