--- /dev/null
+++ b/cli/src/main/java/org/fuchsiadeck/cli/rollout/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The commands on rollouts of new versions.
+ */
+package org.fuchsiadeck.cli.rollout;
--- a/cli/src/test/java/org/fuchsiadeck/cli/FakeStore.java
+++ b/cli/src/test/java/org/fuchsiadeck/cli/FakeStore.java
@@ -48,7 +48,7 @@
     @Override
     public CompletionStage<Either<PlatformFailure, Swap>> put(
             String key, String value, OptionalLong expected, Optional<String> lease) {
-        if (!key.equals("config/current")) {
+        if (key.startsWith("config/history/")) {
             return done(Either.right(swap(key, value, expected)));
         }
         Runnable before = beforeWrite;
--- a/core/src/main/java/org/fuchsiadeck/core/rollout/BookKeeper.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/BookKeeper.java
@@ -20,7 +20,7 @@
  */
 final class BookKeeper {
     /** The key of the book in the platform's service. */
-    static final String KEY = "rollouts/book";
+    static final String KEY = RolloutReducer.BOOK_KEY;
 
     private static final String READ = "rollout/read/";
     private static final String WRITE = "rollout/write/";
--- a/core/src/main/java/org/fuchsiadeck/core/rollout/RolloutReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/RolloutReducer.java
@@ -21,6 +21,9 @@
  * without the platform's service; a step forward needs it.
  */
 public final class RolloutReducer implements Reducer<RolloutState> {
+    /** The key of the book in the platform's service. */
+    public static final String BOOK_KEY = "rollouts/book";
+
     private static final long TICK_MS = 500;
 
     private final VerdictRule rule;
