--- a/node/src/main/java/org/fuchsiadeck/node/Node.java
+++ b/node/src/main/java/org/fuchsiadeck/node/Node.java
@@ -92,11 +92,12 @@
                 metrics,
                 settings.limits().maxAnswerBytes());
         instances = new InstanceList(client, settings.cloud(), this::postListing, metrics);
+        Parts.Context context = new Parts.Context(settings, loop, loop::state, metrics, closer);
         effects.on(RequestEffect.class, new RequestEffects(exchanges, backends))
                 .on(
                         PlatformEffect.class,
-                        step("platform.address", () -> parts.platform().open(settings, loop, closer)))
-                .on(Effect.Send.class, step("peers.address", () -> parts.peers().open(settings, loop, closer)))
+                        step("platform.address", () -> parts.platform().open(context)))
+                .on(Effect.Send.class, step("peers.address", () -> parts.peers().open(context)))
                 .on(Effect.Log.class, log)
                 .on(Effect.Stop.class, e -> drain.allAnswered());
         callers = closer.add(step("callers.address", () -> CallerServer.start(front())));
--- a/node/src/main/java/org/fuchsiadeck/node/NodeDaemon.java
+++ b/node/src/main/java/org/fuchsiadeck/node/NodeDaemon.java
@@ -49,9 +49,12 @@
             return fail(read.getLeft());
         }
         Settings checked = read.get().settings();
+        CountDownLatch ended = new CountDownLatch(1);
         try (LogOutput output = LogOutput.start(checked.identity().id().value(), checked.logLevel())) {
             Either<SettingsError, Node> node = Node.start(read.get(), parts);
-            return node.fold(NodeDaemon::fail, n -> serve(n, checked.drainNoticeMs()));
+            return node.fold(NodeDaemon::fail, n -> serve(n, checked.drainNoticeMs(), ended));
+        } finally {
+            ended.countDown();
         }
     }
 
@@ -60,9 +63,8 @@
         return EXIT_BAD_SETTINGS;
     }
 
-    private static int serve(Node node, long noticeMs) {
-        CountDownLatch closed = new CountDownLatch(1);
-        Thread hook = new Thread(() -> drain(node, noticeMs, closed), "shutdown");
+    private static int serve(Node node, long noticeMs, CountDownLatch ended) {
+        Thread hook = new Thread(() -> drain(node, noticeMs, ended), "shutdown");
         Runtime.getRuntime().addShutdownHook(hook);
         try {
             node.awaitDrained();
@@ -70,16 +72,16 @@
             Thread.currentThread().interrupt();
         } finally {
             node.close();
-            closed.countDown();
         }
         removeHook(hook);
         return EXIT_STOPPED;
     }
 
-    private static void drain(Node node, long noticeMs, CountDownLatch closed) {
+    /** Holds the process until all is closed and the last log line is written. */
+    private static void drain(Node node, long noticeMs, CountDownLatch ended) {
         node.requestStop(noticeMs);
         try {
-            closed.await(noticeMs + CLOSE_WAIT_MS, TimeUnit.MILLISECONDS);
+            ended.await(noticeMs + CLOSE_WAIT_MS, TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/node/src/main/java/org/fuchsiadeck/node/Parts.java
+++ b/node/src/main/java/org/fuchsiadeck/node/Parts.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 import java.util.function.Function;
+import java.util.function.Supplier;
 
+import com.codahale.metrics.MetricRegistry;
 import org.fuchsiadeck.core.Effect;
 import org.fuchsiadeck.core.NodeReducer;
 import org.fuchsiadeck.core.NodeState;
@@ -49,13 +51,31 @@
         /**
          * Opens the handler.
          *
-         * @param settings the node's settings
-         * @param events takes what comes of the effects
-         * @param closer closes what the handler opens
+         * @param context what the handler may use
          * @return the handler
          * @throws Exception if it can't be opened
          */
-        EffectHandler<E> open(Settings settings, EventSink events, Closer closer) throws Exception;
+        EffectHandler<E> open(Context context) throws Exception;
+    }
+
+    /**
+     * What a part may use of its node.
+     *
+     * @param settings the node's settings
+     * @param events takes what comes of the effects
+     * @param state gives the state after the last event
+     * @param metrics takes the part's figures
+     * @param closer closes what the part opens
+     */
+    public record Context(
+            Settings settings, EventSink events, Supplier<NodeState> state, MetricRegistry metrics, Closer closer) {
+        public Context {
+            requireNonNull(settings, "settings");
+            requireNonNull(events, "events");
+            requireNonNull(state, "state");
+            requireNonNull(metrics, "metrics");
+            requireNonNull(closer, "closer");
+        }
     }
 
     /**
@@ -68,7 +88,7 @@
                 new NodeReducer()::reduce,
                 s -> s.config().current(),
                 s -> s.config().unready(),
-                (settings, events, closer) -> effect -> {},
-                (settings, events, closer) -> effect -> {});
+                context -> effect -> {},
+                context -> effect -> {});
     }
 }
--- a/node/src/main/java/org/fuchsiadeck/node/front/CallerCodec.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerCodec.java
@@ -23,8 +23,9 @@
     private static final long MAX_SKIPPED_BYTES = 1 << 20;
 
     private final RequestIds ids;
+    private final RefusalLog refusals;
 
-    CallerCodec(int maxHeadBytes, KeepAlive keepAlive, RequestIds ids) {
+    CallerCodec(int maxHeadBytes, KeepAlive keepAlive, RequestIds ids, RefusalLog refusals) {
         super(
                 true,
                 maxHeadBytes,
@@ -34,6 +35,7 @@
                 MimeHeaders.MAX_NUM_HEADERS_DEFAULT,
                 MimeHeaders.MAX_NUM_HEADERS_DEFAULT);
         this.ids = ids;
+        this.refusals = refusals;
         setMaxPayloadRemainderToSkip(MAX_SKIPPED_BYTES);
     }
 
@@ -60,6 +62,7 @@
                 response.getStatus(),
                 large ? "headers_too_large" : "bad_request",
                 large ? "The headers are too large." : "The request is not valid HTTP.");
+        refusals.note(refusal);
         byte[] body = RefusalWriter.json(refusal, id);
         response.setContentType("application/json");
         response.setContentLength(body.length);
--- a/node/src/main/java/org/fuchsiadeck/node/front/CallerHandler.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerHandler.java
@@ -6,9 +6,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
-import com.codahale.metrics.MetricRegistry;
-import org.fuchsiadeck.core.Effect;
-import org.fuchsiadeck.core.EventCode;
+import com.codahale.metrics.Meter;
 import org.fuchsiadeck.core.config.Configuration;
 import org.fuchsiadeck.core.config.Route;
 import org.fuchsiadeck.core.model.Backend;
@@ -21,7 +19,6 @@
 import org.fuchsiadeck.node.exchange.Exchange;
 import org.fuchsiadeck.node.exchange.Exchanges;
 import org.fuchsiadeck.node.exchange.Refusal;
-import org.fuchsiadeck.node.run.EffectHandler;
 import org.fuchsiadeck.node.run.EventSink;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.filterchain.TransportFilter;
@@ -44,19 +41,19 @@
     private final Exchanges exchanges;
     private final EventSink events;
     private final Supplier<Configuration> configuration;
-    private final EffectHandler<Effect.Log> log;
-    private final MetricRegistry metrics;
+    private final RefusalLog refusals;
+    private final Meter requests;
     private final Executor pump;
     private final BooleanSupplier draining;
     private final long maxBodyBytes;
 
-    CallerHandler(Front front, RequestIds ids, Executor pump, BooleanSupplier draining) {
+    CallerHandler(Front front, RefusalLog refusals, RequestIds ids, Executor pump, BooleanSupplier draining) {
         this.ids = ids;
         this.exchanges = front.exchanges();
         this.events = front.events();
         this.configuration = front.configuration();
-        this.log = front.log();
-        this.metrics = front.metrics();
+        this.refusals = refusals;
+        this.requests = front.metrics().meter("front.requests");
         this.pump = pump;
         this.draining = draining;
         this.maxBodyBytes = front.limits().maxBodyBytes();
@@ -70,7 +67,7 @@
 
     @Override
     public void service(Request request, Response response) {
-        metrics.meter("front.requests").mark();
+        requests.mark();
         RequestId id = ids.next();
         BadCallException bad = null;
         try {
@@ -188,8 +185,7 @@
         if (answer.isEnding()) {
             return;
         }
-        metrics.counter("front.refused." + refusal.reason()).inc();
-        log.handle(new Effect.Log(EventCode.BAD_REQUEST, refusal.status() + " " + refusal.reason()));
+        refusals.note(refusal);
         answer.refuse(refusal, close);
     }
 
--- a/node/src/main/java/org/fuchsiadeck/node/front/CallerServer.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerServer.java
@@ -43,11 +43,14 @@
                 front.limits().maxConnections(), front.limits().slowSenderTimeoutMs());
         RequestIds ids = new RequestIds(front.node());
         NetworkListener listener = listener(front, threads);
-        listener.registerAddOn((l, builder) -> arrange(builder, front, guard, l, ids));
+        RefusalLog refusals = new RefusalLog(front.log(), front.metrics());
+        CallerCodec codec = new CallerCodec(front.limits().maxHeaderBytes(), listener.getKeepAlive(), ids, refusals);
+        listener.registerAddOn((l, builder) -> arrange(builder, guard, codec));
         HttpServer server = new HttpServer();
         server.addListener(listener);
         server.getServerConfiguration().setMaxPostSize(UNLIMITED);
-        server.getServerConfiguration().addHttpHandler(new CallerHandler(front, ids, pump, guard::isDraining), "/");
+        server.getServerConfiguration()
+                .addHttpHandler(new CallerHandler(front, refusals, ids, pump, guard::isDraining), "/");
         try {
             server.start();
         } catch (IOException e) {
@@ -71,11 +74,10 @@
         return listener;
     }
 
-    private static void arrange(
-            FilterChainBuilder builder, Front front, ConnectionGuard guard, NetworkListener listener, RequestIds ids) {
-        int codec = builder.indexOfType(HttpServerFilter.class);
-        builder.set(codec, new CallerCodec(front.limits().maxHeaderBytes(), listener.getKeepAlive(), ids));
-        builder.add(codec, guard);
+    private static void arrange(FilterChainBuilder builder, ConnectionGuard guard, CallerCodec codec) {
+        int index = builder.indexOfType(HttpServerFilter.class);
+        builder.set(index, codec);
+        builder.add(index, guard);
     }
 
     /**
--- a/node/src/test/java/org/fuchsiadeck/node/listing/InstanceListTest.java
+++ b/node/src/test/java/org/fuchsiadeck/node/listing/InstanceListTest.java
@@ -18,6 +18,8 @@
             + "\"service\":\"s\",\"version\":\"v\",\"models\":[\"m\"],\"adapters\":[],\"roles\":[],\"slots\":4,"
             + "\"price_per_hour\":0.1,\"reclaimable\":true,\"leaving\":true}";
 
+    private static final String NOTICE = "{\"instance\":\"a\",\"notice_ms\":900}";
+
     private final List<Event> events = new CopyOnWriteArrayList<>();
     private volatile String body;
     private volatile int status = 200;
@@ -27,16 +29,8 @@
         try (FakeServer server = new FakeServer((m, s) -> FakeServer.plain(m, s, status, body));
                 HttpClient client = HttpClient.start()) {
             InstanceList list = new InstanceList(client, server.address(), events::add, new MetricRegistry());
-            body = list("{\"instance\":\"a\",\"notice_ms\":900}");
-            poll(list, 1);
-            poll(list, 2);
-            poll(list, 3);
-            assertThat(notices()).containsExactly(new PlatformEvent.ReclaimNoticed("a", 900));
-            assertThat(readings().get(0).backends()).singleElement().satisfies(b -> {
-                assertThat(b.id().value()).isEqualTo("good");
-                assertThat(b.leaving()).isTrue();
-            });
-            assertThat(readings().get(0).nodes()).hasSize(1);
+            read(list, "first", NOTICE);
+            read(list, "second", NOTICE);
             status = 503;
             int calls = server.received.size();
             Await.until("a failing call", () -> {
@@ -44,30 +38,28 @@
                 return server.received.size() > calls;
             });
             status = 200;
-            body = list("");
-            poll(list, 4);
-            body = list("{\"instance\":\"a\",\"notice_ms\":500}");
-            poll(list, 5);
+            read(list, "third", "");
+            assertThat(notices()).containsExactly(new PlatformEvent.ReclaimNoticed("a", 900));
+            assertThat(readings().get(0).backends()).singleElement().satisfies(b -> {
+                assertThat(b.id().value()).isEqualTo("good");
+                assertThat(b.leaving()).isTrue();
+            });
+            read(list, "fourth", NOTICE);
             Await.until("the later notice", () -> notices().size() == 2);
         }
     }
 
-    private void poll(InstanceList list, int reading) throws Exception {
-        Await.until("reading " + reading, () -> {
-            if (readings().size() < reading) {
-                list.poll();
-            }
-            return readings().size() >= reading;
+    private void read(InstanceList list, String node, String notices) throws Exception {
+        body = "{\"backends\":[" + String.format(BACKEND, "good", "127.0.0.1:9") + ","
+                + String.format(BACKEND, "bad", "nowhere") + "],\"nodes\":[{\"id\":\"" + node
+                + "\",\"address\":\"127.0.0.1:8\",\"zone\":\"sur\"}],\"notices\":[" + notices + "]}";
+        Await.until("a reading with the node " + node, () -> {
+            list.poll();
+            return readings().stream()
+                    .anyMatch(r -> r.nodes().get(0).id().value().equals(node));
         });
     }
 
-    private static String list(String notices) {
-        return "{\"backends\":[" + String.format(BACKEND, "good", "127.0.0.1:9") + ","
-                + String.format(BACKEND, "bad", "nowhere") + "],"
-                + "\"nodes\":[{\"id\":\"n\",\"address\":\"127.0.0.1:8\",\"zone\":\"sur\"}],\"notices\":[" + notices
-                + "]}";
-    }
-
     private List<PlatformEvent.Listed> readings() {
         return only(PlatformEvent.Listed.class);
     }
