--- a/node/src/main/java/org/fuchsiadeck/node/Node.java
+++ b/node/src/main/java/org/fuchsiadeck/node/Node.java
@@ -64,7 +64,7 @@
         this.settings = settings;
         this.parts = parts;
         this.loop = new EventLoop(NodeState.initial(settings.identity()), parts.decisions(), effects, metrics);
-        this.drain = new Drain(this::beginDrain, () -> exchanges.size() + callers.unfinished());
+        this.drain = new Drain(this::beginDrain, () -> exchanges.size() + callers.unfinished(), this::handedOver);
     }
 
     /**
@@ -166,6 +166,10 @@
         }
     }
 
+    private boolean handedOver() {
+        return loop.state().claims().handedOver(settings.identity().id());
+    }
+
     private void beginDrain(long noticeMs) {
         log.write(EventCode.NODE_DRAINING, settings.identity().id() + " notice " + noticeMs + " ms");
         callers.drain();
