Send one request from the command line

Operators and the quickstart had no way to send a request as a caller does and see what came of it; curl shows neither the outcome of a streamed answer nor its text as one.

Ruled out: the operators' HTTP client, which knows no streams and holds answers as text only.

Change: `fuchsiadeck send` over the node's HTTP client, with the outcome as the exit code: 0 answered, 1 refused or failed, 2 wrong use, 3 unknown. A lost connection counts as unknown, a refused one as not run.

--- a/cli/src/main/java/org/fuchsiadeck/cli/Main.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/Main.java
@@ -10,6 +10,7 @@
 import org.fuchsiadeck.cli.config.ExplainCommand;
 import org.fuchsiadeck.cli.config.HistoryCommand;
 import org.fuchsiadeck.cli.config.ShowCommand;
+import org.fuchsiadeck.cli.load.SendCommand;
 import org.fuchsiadeck.cli.state.DumpCommand;
 import org.fuchsiadeck.cli.state.MembersCommand;
 import org.fuchsiadeck.cli.state.OperatorCalls;
@@ -52,6 +53,7 @@
         out.put("config history", new HistoryCommand(connector));
         out.put("members", new MembersCommand(operator));
         out.put("dump", new DumpCommand(operator));
+        out.put("send", new SendCommand());
         out.put("node", new NodeCommand(NODE));
         out.put("testbed", new TestbedCommand(TESTBED));
         return out;
--- /dev/null
+++ b/cli/src/main/java/org/fuchsiadeck/cli/load/StreamEvent.java
@@ -0,0 +1,24 @@
+package org.fuchsiadeck.cli.load;
+
+/**
+ * An event of a streamed answer, as docs/HTTP.md describes it.
+ *
+ * @param kind what it is
+ * @param index a token's position in the answer, from 0; -1 for other events
+ * @param text a token's text, or what an error event says
+ * @param outcome the outcome of an error event; empty for other events
+ * @param recomputed tokens that the engines computed again, in the last event
+ */
+record StreamEvent(Kind kind, int index, String text, String outcome, int recomputed) {
+    /** What an event is. */
+    enum Kind {
+        /** One token. */
+        TOKEN,
+        /** The end of a whole answer. */
+        DONE,
+        /** The end of a failed answer. */
+        ERROR,
+        /** None of the protocol. */
+        UNREADABLE
+    }
+}
