--- a/cli/src/main/java/org/fuchsiadeck/cli/ExitCode.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/ExitCode.java
@@ -27,4 +27,18 @@
     public int code() {
         return code;
     }
+
+    /**
+     * Returns the exit code for a daemon that ended, and that wrote why if it failed.
+     *
+     * @param code the daemon's code: 0 if it stopped as asked, 2 if its settings can't be used
+     * @return the exit code
+     */
+    static ExitCode ofDaemon(int code) {
+        return switch (code) {
+            case 0 -> DONE;
+            case 2 -> WRONG_USE;
+            default -> FAILED;
+        };
+    }
 }
--- a/cli/src/main/java/org/fuchsiadeck/cli/Main.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/Main.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.ToIntFunction;
 
@@ -27,7 +28,7 @@
  */
 public final class Main {
     private static final ToIntFunction<Path> NODE = NodeDaemon::run;
-    private static final ToIntFunction<Path> TESTBED = TestbedDaemon::run;
+    private static final ToIntFunction<List<String>> TESTBED = TestbedDaemon::run;
 
     private Main() {}
 
--- a/cli/src/test/java/org/fuchsiadeck/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/fuchsiadeck/cli/CommandLineTest.java
@@ -28,7 +28,9 @@
                 "config explain --at noon",
                 "dump --node 127.0.0.1:9000",
                 "dump --node 127.0.0.1:9000 --token-file /nonexistent",
-                "node"
+                "node",
+                "testbed",
+                "testbed --preset howrah --spec a.json"
             })
     void wrongUseEndsWithTwo(String line) {
         CliRun run = CliRun.run(new FakeStore(), line.split(" "));
@@ -60,6 +62,12 @@
         assertThat(line.run(console, "node", "--settings", "m.toml")).isEqualTo(ExitCode.FAILED);
     }
 
+    @Test
+    void settingsThatCannotBeUsedEndWithTwo() {
+        CommandLine line = new CommandLine(Map.of("node", new NodeCommand(p -> 2)));
+        assertThat(line.run(Console.system(), "node", "--settings", "n.toml")).isEqualTo(ExitCode.WRONG_USE);
+    }
+
     @Test
     void writesTheMembersOfANode(@TempDir Path dir) throws Exception {
         Path token = Files.writeString(dir.resolve("token"), "secret\n");
--- a/node/src/main/java/org/fuchsiadeck/node/Node.java
+++ b/node/src/main/java/org/fuchsiadeck/node/Node.java
@@ -214,6 +214,7 @@
         json.set("unready", StateJson.of(unready()));
         json.set("settings", StateJson.of(settings));
         json.put("config_revision", configuration().revision());
+        json.set("members", StateJson.of(state.members().members()));
         json.set("idle_connections", StateJson.of(backends.idleConnections()));
         json.put("requests_open", exchanges.size());
         json.set("state", StateJson.of(state));
