--- a/testbed/src/main/java/org/fuchsiadeck/testbed/app/Call.java
+++ b/testbed/src/main/java/org/fuchsiadeck/testbed/app/Call.java
@@ -1,6 +1,5 @@
 package org.fuchsiadeck.testbed.app;
 
-import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -119,11 +118,7 @@
                 + "X-Request-Id: " + x.header("X-Request-Id") + "\r\nX-Attempt: " + x.header("X-Attempt")
                 + "\r\nX-Version: " + version + "\r\nContent-Length: " + json.length + "\r\n\r\n";
         byte[] again = (head + new String(json, StandardCharsets.UTF_8)).getBytes(StandardCharsets.UTF_8);
-        try {
-            x.jsonThenBytes(status, body, again);
-        } catch (IOException e) {
-            x.drop();
-        }
+        x.jsonThenBytes(status, body, again);
     }
 
     private void fail() {
--- a/testbed/src/main/java/org/fuchsiadeck/testbed/http/ChunkStream.java
+++ b/testbed/src/main/java/org/fuchsiadeck/testbed/http/ChunkStream.java
@@ -11,8 +11,6 @@
  * An answer sent in chunks without blocking. One thread writes at a time.
  */
 public final class ChunkStream {
-    private final Response response;
-
     private final Connection<?> connection;
 
     private final NIOOutputStream out;
@@ -22,7 +20,6 @@
     private volatile boolean closed;
 
     ChunkStream(Response response, Connection<?> connection, boolean closed, Runnable onEnd) {
-        this.response = response;
         this.connection = connection;
         this.closed = closed;
         this.onEnd = onEnd;
@@ -70,7 +67,7 @@
         try {
             out.write(bytes);
             out.flush();
-        } catch (IOException e) {
+        } catch (IOException | IllegalStateException e) {
             drop();
         }
     }
@@ -82,8 +79,6 @@
         if (!closed) {
             closed = true;
             onEnd.run();
-            response.finish();
-            response.resume();
         }
     }
 
--- a/testbed/src/main/java/org/fuchsiadeck/testbed/http/Exchange.java
+++ b/testbed/src/main/java/org/fuchsiadeck/testbed/http/Exchange.java
@@ -6,6 +6,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.glassfish.grizzly.CloseListener;
@@ -32,6 +33,8 @@
 
     private final Response response;
 
+    private final Connection<?> connection;
+
     private final List<String> path;
 
     private final AtomicBoolean answered = new AtomicBoolean();
@@ -45,6 +48,7 @@
     Exchange(Request request, Response response) {
         this.request = request;
         this.response = response;
+        this.connection = request.getRequest().getConnection();
         this.path = segments(request.getRequestURI());
     }
 
@@ -59,6 +63,19 @@
         args = values;
     }
 
+    void begin() {
+        ReadGate.begin(connection);
+    }
+
+    /** Notices a closed connection from now on if the answer is still to come. */
+    void watch() {
+        try {
+            ReadGate.watch(connection);
+        } catch (IOException e) {
+            connection.terminateSilently();
+        }
+    }
+
     void body(String text) {
         body = text;
     }
@@ -169,8 +186,10 @@
     public void json(int status, Object value) {
         if (claim()) {
             byte[] bytes = Json.write(value).getBytes(StandardCharsets.UTF_8);
-            send(status, bytes, bytes.length);
-            end();
+            onWorker(() -> {
+                send(status, bytes, bytes.length);
+                end();
+            });
         }
     }
 
@@ -190,8 +209,10 @@
     public void half(int status, Object value) {
         if (claim()) {
             byte[] bytes = Json.write(value).getBytes(StandardCharsets.UTF_8);
-            send(status, Arrays.copyOf(bytes, bytes.length / 2), bytes.length);
-            connection().closeSilently();
+            onWorker(() -> {
+                send(status, Arrays.copyOf(bytes, bytes.length / 2), bytes.length);
+                connection.closeSilently();
+            });
         }
     }
 
@@ -201,14 +222,10 @@
      * @param status the HTTP status
      * @param value what is written as JSON
      * @param surplus bytes that follow the answer
-     * @throws IOException if the connection is closed
      */
-    public void jsonThenBytes(int status, Object value, byte[] surplus) throws IOException {
-        Connection<?> to = connection();
+    public void jsonThenBytes(int status, Object value, byte[] surplus) {
         json(status, value);
-        Transport transport = to.getTransport();
-        var buffer = Buffers.wrap(transport.getMemoryManager(), surplus);
-        ((TCPNIOTransport) transport).write((TCPNIOConnection) to, buffer);
+        onWorker(() -> writeRaw(surplus));
     }
 
     /**
@@ -223,7 +240,7 @@
             response.setStatus(200);
             response.setContentType(contentType);
         }
-        return new ChunkStream(response, connection(), !first, this::forgetCloseListener);
+        return new ChunkStream(response, connection, !first, () -> onWorker(this::end));
     }
 
     /**
@@ -231,7 +248,7 @@
      */
     public void drop() {
         answered.set(true);
-        connection().terminateSilently();
+        connection.terminateSilently();
     }
 
     /**
@@ -242,7 +259,7 @@
     public void onClose(Runnable action) {
         forgetCloseListener();
         closeListener = (c, type) -> action.run();
-        connection().addCloseListener(closeListener);
+        connection.addCloseListener(closeListener);
     }
 
     /**
@@ -251,7 +268,7 @@
      * @return false once answered or dropped
      */
     public boolean isOpen() {
-        return !answered.get() && connection().isOpen();
+        return !answered.get() && connection.isOpen();
     }
 
     private void send(int status, byte[] bytes, int length) {
@@ -263,28 +280,46 @@
             out.write(bytes);
             out.flush();
         } catch (IOException e) {
-            connection().terminateSilently();
+            connection.terminateSilently();
         }
     }
 
+    /** Ends the answer. On the worker, so that the server is done with the request before it is resumed. */
     private void end() {
         forgetCloseListener();
-        response.finish();
-        response.resume();
+        if (connection.isOpen()) {
+            response.finish();
+            response.resume();
+            ReadGate.end(connection);
+        }
+    }
+
+    private void writeRaw(byte[] bytes) {
+        Transport transport = connection.getTransport();
+        var buffer = Buffers.wrap(transport.getMemoryManager(), bytes);
+        try {
+            ((TCPNIOTransport) transport).write((TCPNIOConnection) connection, buffer);
+        } catch (IOException e) {
+            connection.terminateSilently();
+        }
+    }
+
+    private void onWorker(Runnable action) {
+        try {
+            connection.getTransport().getWorkerThreadPool().execute(action);
+        } catch (RejectedExecutionException e) {
+            connection.terminateSilently(); // the server has been killed
+        }
     }
 
     private void forgetCloseListener() {
         CloseListener<Closeable, CloseType> listener = closeListener;
         if (listener != null) {
-            connection().removeCloseListener(listener);
+            connection.removeCloseListener(listener);
         }
     }
 
     private boolean claim() {
-        return answered.compareAndSet(false, true) && connection().isOpen();
-    }
-
-    private Connection<?> connection() {
-        return request.getRequest().getConnection();
+        return answered.compareAndSet(false, true) && connection.isOpen();
     }
 }
--- a/testbed/src/main/java/org/fuchsiadeck/testbed/http/StandInServer.java
+++ b/testbed/src/main/java/org/fuchsiadeck/testbed/http/StandInServer.java
@@ -5,6 +5,7 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
+import org.glassfish.grizzly.filterchain.TransportFilter;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.NetworkListener;
@@ -12,18 +13,22 @@
 import org.glassfish.grizzly.http.server.RequestExecutorProvider;
 import org.glassfish.grizzly.http.server.Response;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
-import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.glassfish.grizzly.strategies.WorkerThreadIOStrategy;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 
 import static java.util.Objects.requireNonNull;
 
 /**
- * An HTTP server with one thread, which actions must not block. It can be killed and started again on the same port.
+ * An HTTP server with one worker thread, which actions must not block. It can be killed and started again on the same port.
  */
 public final class StandInServer implements AutoCloseable {
     private static final String HOST = "127.0.0.1";
 
     private static final int UNLIMITED = -1;
 
+    /** One, so that a request is resumed only once the server is done with handing it over. */
+    private static final int WORKERS = 1;
+
     private static final Logger GRIZZLY_LOG = Logger.getLogger("org.glassfish.grizzly");
 
     static {
@@ -43,7 +48,7 @@
     /**
      * Makes a server that admits every request.
      *
-     * @param name names its thread
+     * @param name names its threads
      * @param port the port, 0 for any
      * @param routes what answers
      */
@@ -54,7 +59,7 @@
     /**
      * Makes a server.
      *
-     * @param name names its thread
+     * @param name names its threads
      * @param port the port, 0 for any
      * @param routes what answers
      * @param admission looks at each request before its body is read; false if it has dealt with the request itself
@@ -125,10 +130,14 @@
     private NetworkListener listener() {
         NetworkListener listener = new NetworkListener(name, HOST, port);
         TCPNIOTransport transport = listener.getTransport();
-        transport.setIOStrategy(SameThreadIOStrategy.getInstance());
-        transport.setWorkerThreadPoolConfig(null);
+        transport.setIOStrategy(WorkerThreadIOStrategy.getInstance());
+        transport.setWorkerThreadPoolConfig(ThreadPoolConfig.defaultConfig()
+                .setPoolName(name)
+                .setCorePoolSize(WORKERS)
+                .setMaxPoolSize(WORKERS));
         transport.setSelectorRunnersCount(1);
         transport.setTcpNoDelay(true);
+        listener.registerAddOn((l, chain) -> chain.add(chain.indexOfType(TransportFilter.class) + 1, new ReadGate()));
         listener.getKeepAlive().setIdleTimeoutInSeconds(UNLIMITED);
         listener.getKeepAlive().setMaxRequestsCount(UNLIMITED);
         return listener;
@@ -159,13 +168,19 @@
                 return;
             }
             if (!hasBody(request)) {
-                routes.run(x);
+                run(x);
                 return;
             }
             BodyReader.read(request.getNIOInputStream(), text -> {
                 x.body(text);
-                routes.run(x);
+                run(x);
             });
         }
+
+        private void run(Exchange x) {
+            x.begin();
+            routes.run(x);
+            x.watch();
+        }
     }
 }
--- a/testbed/src/main/java/org/fuchsiadeck/testbed/proxy/FaultProxy.java
+++ b/testbed/src/main/java/org/fuchsiadeck/testbed/proxy/FaultProxy.java
@@ -2,8 +2,10 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.locks.LockSupport;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -21,6 +23,10 @@
 public final class FaultProxy implements AutoCloseable {
     private static final String HOST = "127.0.0.1";
 
+    private static final long UNBIND_TIMEOUT_NS = 1_000_000_000;
+
+    private static final long UNBIND_PAUSE_NS = 100_000;
+
     private final InetSocketAddress target;
 
     private final EventLoopGroup group;
@@ -130,6 +136,25 @@
         if (listener != null) {
             listener.close().awaitUninterruptibly();
             listener = null;
+            awaitFreePort();
+        }
+    }
+
+    /** Waits until the event loop has let go of the closed listener, which takes connections until then. */
+    private void awaitFreePort() {
+        long end = System.nanoTime() + UNBIND_TIMEOUT_NS;
+        while (!isFree(port) && System.nanoTime() - end < 0) {
+            LockSupport.parkNanos(UNBIND_PAUSE_NS);
+        }
+    }
+
+    private static boolean isFree(int port) {
+        try (Socket probe = new Socket()) {
+            probe.setReuseAddress(true);
+            probe.bind(new InetSocketAddress(HOST, port));
+            return true;
+        } catch (IOException e) {
+            return false;
         }
     }
 
