Measure entry nodes under open-loop load

There was no way to compare routers, or to see what a reclaim does to callers, with processes as they run.

Ruled out: a closed loop, which sends less when answers are slow and so hides it; the system's own counters as the proof of what ran.

Change: `fuchsiadeck load` sends planned requests at their times and counts latency from the intended send, checks streams token by token, and holds what callers were told against what the stand-ins ran. `experiment.router` in a node's settings selects a baseline.

--- a/cli/src/main/java/org/fuchsiadeck/cli/Main.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/Main.java
@@ -10,7 +10,7 @@
 import org.fuchsiadeck.cli.config.ExplainCommand;
 import org.fuchsiadeck.cli.config.HistoryCommand;
 import org.fuchsiadeck.cli.config.ShowCommand;
-import org.fuchsiadeck.cli.load.SendCommand;
+import org.fuchsiadeck.cli.load.LoadCommand;
 import org.fuchsiadeck.cli.rollout.ReportCommand;
 import org.fuchsiadeck.cli.rollout.StartCommand;
 import org.fuchsiadeck.cli.rollout.StatusCommand;
@@ -61,7 +61,7 @@
         out.put("rollout stop", new StopCommand(connector));
         out.put("members", new MembersCommand(operator));
         out.put("dump", new DumpCommand(operator));
-        out.put("send", new SendCommand());
+        out.putAll(LoadCommand.all());
         out.put("node", new NodeCommand(NODE));
         out.put("testbed", new TestbedCommand(TESTBED));
         return out;
--- a/cli/src/main/java/org/fuchsiadeck/cli/load/EventReader.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/load/EventReader.java
@@ -56,7 +56,8 @@
         try (JsonParser json = JSON.createParser(line, from, count)) {
             return new Fields().read(json);
         } catch (IOException e) {
-            return new StreamEvent(StreamEvent.Kind.UNREADABLE, -1, new String(line, from, count, UTF_8), "", 0);
+            return new StreamEvent(
+                    StreamEvent.Kind.UNREADABLE, -1, new String(line, from, count, UTF_8), "", StreamEvent.Usage.NONE);
         }
     }
 
@@ -67,6 +68,7 @@
         private boolean done;
         private boolean error;
         private String outcome = "";
+        private int prompt;
         private int recomputed;
 
         StreamEvent read(JsonParser json) throws IOException {
@@ -76,7 +78,7 @@
                 json.nextToken();
                 take(name, json);
             }
-            return new StreamEvent(kind(), index, text, outcome, recomputed);
+            return new StreamEvent(kind(), index, text, outcome, new StreamEvent.Usage(prompt, recomputed));
         }
 
         private void take(String name, JsonParser json) throws IOException {
@@ -90,6 +92,9 @@
                 case "done":
                     done = json.getBooleanValue();
                     break;
+                case "prompt_tokens":
+                    prompt = json.getIntValue();
+                    break;
                 case "recomputed_tokens":
                     recomputed = json.getIntValue();
                     break;
--- a/cli/src/main/java/org/fuchsiadeck/cli/load/PendingAnswer.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/load/PendingAnswer.java
@@ -59,6 +59,10 @@
         }
     }
 
+    synchronized boolean hasEnded() {
+        return ended;
+    }
+
     @Override
     public synchronized void onHead(HttpResponsePacket packet) {
         String outcome = packet.getHeader("X-Outcome");
--- a/cli/src/main/java/org/fuchsiadeck/cli/load/StreamEvent.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/load/StreamEvent.java
@@ -7,9 +7,9 @@
  * @param index a token's position in the answer, from 0; -1 for other events
  * @param text a token's text, or what an error event says
  * @param outcome the outcome of an error event; empty for other events
- * @param recomputed tokens that the engines computed again, in the last event
+ * @param usage what the answer cost, in the last event; nothing in other events
  */
-record StreamEvent(Kind kind, int index, String text, String outcome, int recomputed) {
+record StreamEvent(Kind kind, int index, String text, String outcome, Usage usage) {
     /** What an event is. */
     enum Kind {
         /** One token. */
@@ -21,4 +21,14 @@
         /** None of the protocol. */
         UNREADABLE
     }
+
+    /**
+     * What an answer cost, as the engine that ended it counts.
+     *
+     * @param promptTokens tokens of the prompt
+     * @param computedTokens tokens of prompt and resumed text that its cache lacked
+     */
+    record Usage(int promptTokens, int computedTokens) {
+        static final Usage NONE = new Usage(0, 0);
+    }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/NodeReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/NodeReducer.java
@@ -15,6 +15,7 @@
 import org.fuchsiadeck.core.request.RequestState;
 import org.fuchsiadeck.core.rollout.RolloutReducer;
 import org.fuchsiadeck.core.rollout.RolloutState;
+import org.fuchsiadeck.core.routing.Router;
 
 /**
  * The root of the decisions: hands each event to every concern, and the events they raise after it.
@@ -24,7 +25,21 @@
     private final Reducer<MembershipState> members = new MembershipReducer();
     private final Reducer<RolloutState> rollouts = new RolloutReducer();
     private final Reducer<ClaimState> claims = new ClaimReducer();
-    private final Reducer<RequestState> requests = new RequestReducer();
+    private final Reducer<RequestState> requests;
+
+    /** Makes a reducer with the router in normal use. */
+    public NodeReducer() {
+        this(Router.betterOfTwo());
+    }
+
+    /**
+     * Makes a reducer with another router, to measure against.
+     *
+     * @param router chooses the backend servers
+     */
+    public NodeReducer(Router router) {
+        requests = new RequestReducer(router);
+    }
 
     /**
      * Reduces one event and all events it raises.
--- a/node/src/main/java/org/fuchsiadeck/node/NodeDaemon.java
+++ b/node/src/main/java/org/fuchsiadeck/node/NodeDaemon.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 
 import io.vavr.control.Either;
 import org.fuchsiadeck.node.log.LogOutput;
@@ -32,7 +33,7 @@
      * @return the exit code
      */
     public static int run(Path settings) {
-        return run(settings, Parts.standard());
+        return run(settings, s -> Parts.standard(s.router().router()));
     }
 
     /**
@@ -43,6 +44,10 @@
      * @return the exit code
      */
     public static int run(Path settings, Parts parts) {
+        return run(settings, s -> parts);
+    }
+
+    private static int run(Path settings, Function<Settings, Parts> parts) {
         LogOutput.select();
         Either<SettingsError, LoadedSettings> read = SettingsFile.read(settings);
         if (read.isLeft()) {
@@ -50,7 +55,7 @@
         }
         Settings checked = read.get().settings();
         try (LogOutput output = LogOutput.start(checked.identity().id().value(), checked.logLevel())) {
-            Either<SettingsError, Node> node = Node.start(read.get(), parts);
+            Either<SettingsError, Node> node = Node.start(read.get(), parts.apply(checked));
             return node.fold(NodeDaemon::fail, n -> serve(n, checked.drainNoticeMs()));
         }
     }
--- a/node/src/main/java/org/fuchsiadeck/node/Parts.java
+++ b/node/src/main/java/org/fuchsiadeck/node/Parts.java
@@ -10,6 +10,7 @@
 import org.fuchsiadeck.core.NodeReducer;
 import org.fuchsiadeck.core.NodeState;
 import org.fuchsiadeck.core.config.Configuration;
+import org.fuchsiadeck.core.routing.Router;
 import org.fuchsiadeck.node.run.Closer;
 import org.fuchsiadeck.node.run.Decisions;
 import org.fuchsiadeck.node.run.EffectHandler;
@@ -80,8 +81,18 @@
      * @return the parts
      */
     public static Parts standard() {
+        return standard(Router.betterOfTwo());
+    }
+
+    /**
+     * Returns the parts of a node in operation, but for its router.
+     *
+     * @param router chooses the backend servers
+     * @return the parts
+     */
+    public static Parts standard(Router router) {
         return new Parts(
-                new NodeReducer()::reduce,
+                new NodeReducer(router)::reduce,
                 s -> s.config().current(),
                 Parts::unready,
                 PlatformPart::open,
--- a/node/src/main/java/org/fuchsiadeck/node/settings/Settings.java
+++ b/node/src/main/java/org/fuchsiadeck/node/settings/Settings.java
@@ -27,6 +27,7 @@
  * @param logLevel the least level of the node's own log lines
  * @param configuration a file with a configuration that does not change, for tests; empty to use the platform's
  * @param limits what the node takes from callers and backend servers
+ * @param router how it chooses backend servers
  */
 public record Settings(
         Identity identity,
@@ -41,7 +42,8 @@
         long drainNoticeMs,
         LogLevel logLevel,
         Optional<Path> configuration,
-        Limits limits) {
+        Limits limits,
+        RouterChoice router) {
     private static final long MIN_POLL_MS = 10;
     private static final long MAX_MS = 3_600_000;
 
@@ -59,5 +61,6 @@
         requireNonNull(logLevel, "logLevel");
         requireNonNull(configuration, "configuration");
         requireNonNull(limits, "limits");
+        requireNonNull(router, "router");
     }
 }
--- a/node/src/main/java/org/fuchsiadeck/node/settings/SettingsFile.java
+++ b/node/src/main/java/org/fuchsiadeck/node/settings/SettingsFile.java
@@ -66,7 +66,8 @@
                 checked(keys, "drain_notice_ms", DEFAULT_DRAIN_NOTICE_MS, 0),
                 keys.optional("log_level", SettingsFile::level).orElse(LogLevel.INFO),
                 configuration(file, keys),
-                limits(keys));
+                limits(keys),
+                keys.optional("experiment.router", RouterChoice::parse).orElse(RouterChoice.BETTER_OF_TWO));
         keys.refuseUnknown();
         return settings;
     }
--- a/node/src/test/java/org/fuchsiadeck/node/settings/SettingsFileTest.java
+++ b/node/src/test/java/org/fuchsiadeck/node/settings/SettingsFileTest.java
@@ -32,6 +32,8 @@
             address = "127.0.0.1:7"
             [limits]
             max_connections = 9
+            [experiment]
+            router = "round-robin"
             """;
 
     @TempDir
@@ -46,6 +48,7 @@
         assertThat(settings.limits().maxConnections()).isEqualTo(9);
         assertThat(settings.limits().maxBodyBytes()).isEqualTo(Limits.DEFAULT.maxBodyBytes());
         assertThat(settings.logLevel()).isEqualTo(LogLevel.DEBUG);
+        assertThat(settings.router()).isEqualTo(RouterChoice.ROUND_ROBIN);
     }
 
     @ParameterizedTest(name = "{1}")
@@ -59,6 +62,7 @@
                 "id = \"n1\"             | log_level = \"loud\"    | 1:1: id: is missing",
                 "max_connections = 9     | max_connections = 0     | 17:1: limits.max_connections: max_connections must",
                 "max_connections = 9     | connections = 9         | 17:1: limits.connections: is not a setting",
+                "router = \"round-robin\" | router = \"random\"   | 19:1: experiment.router: must be better-of-two",
                 "token = \"t\"           | #                       | 6:1: operators.token: is missing",
                 "address = \"127.0.0.1:6\" | address = \"127.0.0.1\" | 13:1: platform.address: an address must be host:port",
             })
--- a/node/src/test/java/org/fuchsiadeck/node/testing/TestNode.java
+++ b/node/src/test/java/org/fuchsiadeck/node/testing/TestNode.java
@@ -35,6 +35,7 @@
 import org.fuchsiadeck.node.log.LogLevel;
 import org.fuchsiadeck.node.settings.Limits;
 import org.fuchsiadeck.node.settings.LoadedSettings;
+import org.fuchsiadeck.node.settings.RouterChoice;
 import org.fuchsiadeck.node.settings.Settings;
 import org.fuchsiadeck.node.settings.SettingsError;
 import org.tomlj.Toml;
@@ -131,7 +132,8 @@
                 2_000,
                 LogLevel.INFO,
                 Optional.empty(),
-                LIMITS);
+                LIMITS,
+                RouterChoice.BETTER_OF_TWO);
     }
 
     private static Route route(String name, Backend.Kind kind, String method, String path, boolean idempotent) {
