--- a/testbed/src/main/java/org/fuchsiadeck/testbed/BackendSpec.java
+++ b/testbed/src/main/java/org/fuchsiadeck/testbed/BackendSpec.java
@@ -23,7 +23,7 @@
  * @param slots how many requests it works on at a time; 0 for the default
  * @param pricePerHour what it costs per hour
  * @param reclaimable whether it may be taken back; true if absent
- * @param port the port, 0 for any
+ * @param port the port that callers use, 0 for any
  * @param proxied whether a proxy stands in front
  * @param engine an engine's settings; the defaults if absent
  * @param app an application's settings; the defaults if absent
--- a/testbed/src/main/java/org/fuchsiadeck/testbed/ControlServer.java
+++ b/testbed/src/main/java/org/fuchsiadeck/testbed/ControlServer.java
@@ -1,6 +1,7 @@
 package org.fuchsiadeck.testbed;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 
@@ -53,10 +54,7 @@
                     testbed.leave(x.arg(0), noticeMs(x));
                     x.ok();
                 })
-                .on(
-                        "POST",
-                        "/v1/zone/*/reclaim",
-                        x -> x.json(200, new Reclaimed(testbed.reclaim(x.arg(0), noticeMs(x)))))
+                .on("POST", "/v1/zone/*/reclaim", this::reclaim)
                 .on("POST", "/v1/proxy/*/faults", x -> {
                     testbed.proxy(x.arg(0)).faults(x.body(ProxyFaults.class));
                     x.ok();
@@ -67,6 +65,14 @@
                 });
     }
 
+    private void reclaim(Exchange x) {
+        List<String> ids = new ArrayList<>(testbed.reclaim(x.arg(0), noticeMs(x)));
+        if (x.param("nodes", 0) == 1) {
+            ids.addAll(testbed.reclaimNodes(x.arg(0), noticeMs(x)));
+        }
+        x.json(200, new Reclaimed(ids));
+    }
+
     private static long noticeMs(Exchange x) {
         return x.param("notice_ms", NOTICE_MS);
     }
--- a/testbed/src/main/java/org/fuchsiadeck/testbed/Testbed.java
+++ b/testbed/src/main/java/org/fuchsiadeck/testbed/Testbed.java
@@ -15,6 +15,7 @@
 import org.fuchsiadeck.testbed.app.AppServer;
 import org.fuchsiadeck.testbed.cloud.BackendInstance;
 import org.fuchsiadeck.testbed.cloud.CloudService;
+import org.fuchsiadeck.testbed.cloud.NodeInstance;
 import org.fuchsiadeck.testbed.engine.EngineServer;
 import org.fuchsiadeck.testbed.engine.EngineState;
 import org.fuchsiadeck.testbed.http.BackendServer;
@@ -55,8 +56,9 @@
     private Testbed(TestbedSpec spec) {
         closer.add(this::stopProxyThreads);
         closer.add(timer::shutdownNow);
-        kv = closer.add(new KvService(spec.kv(), timer));
-        cloud = closer.add(new CloudService(spec.cloud().port(), timer));
+        kv = closer.add(new KvService(spec.kv().proxied() ? spec.kv().withPort(0) : spec.kv(), timer));
+        cloud = closer.add(
+                new CloudService(spec.cloud().proxied() ? 0 : spec.cloud().port(), timer));
         control = closer.add(new ControlServer(this, spec.controlPort()));
     }
 
@@ -208,6 +210,22 @@
         return ids;
     }
 
+    /**
+     * Gives notice to every entry instance of an availability zone. Their processes are the caller's to stop.
+     *
+     * @param zone the availability zone
+     * @param noticeMs the time left, in milliseconds
+     * @return the ids that got notice
+     */
+    public List<String> reclaimNodes(String zone, long noticeMs) {
+        List<String> ids = cloud.nodes().stream()
+                .filter(n -> n.zone().equals(zone))
+                .map(NodeInstance::id)
+                .toList();
+        ids.forEach(id -> leave(id, noticeMs));
+        return ids;
+    }
+
     /**
      * Starts one more backend server and lists it.
      *
@@ -221,7 +239,7 @@
         }
         BackendServer server = closer.add(server(spec));
         server.start();
-        String address = spec.proxied() ? addProxy(spec.id(), 0, server.address()) : server.address();
+        String address = spec.proxied() ? addProxy(spec.id(), spec.port(), server.address()) : server.address();
         Host host = new Host(spec, server, address);
         hosts.put(spec.id(), host);
         cloud.put(host.instance());
@@ -275,10 +293,10 @@
         cloud.onNotice(this::noticed);
         cloud.start();
         if (spec.kv().proxied()) {
-            addProxy(KV, 0, kv.address());
+            addProxy(KV, spec.kv().port(), kv.address());
         }
         if (spec.cloud().proxied()) {
-            addProxy(CLOUD, 0, cloud.address());
+            addProxy(CLOUD, spec.cloud().port(), cloud.address());
         }
         spec.nodes().forEach(cloud::put);
         for (BackendSpec backend : spec.backends()) {
@@ -298,12 +316,13 @@
     }
 
     private BackendServer server(BackendSpec s) {
+        int port = s.proxied() ? 0 : s.port();
         if (s.kind() == BackendInstance.Kind.APPLICATION) {
-            return new AppServer(s.id(), s.version(), s.slots(), s.port(), s.app(), timer);
+            return new AppServer(s.id(), s.version(), s.slots(), port, s.app(), timer);
         }
         String role = s.roles().isEmpty() ? null : s.roles().get(0);
         EngineState state = new EngineState(s.version(), s.models(), s.adapters(), role);
-        return new EngineServer(s.id(), state, s.slots(), s.port(), s.engine(), timer);
+        return new EngineServer(s.id(), state, s.slots(), port, s.engine(), timer);
     }
 
     private void noticed(String id, long noticeMs) {
--- a/testbed/src/main/java/org/fuchsiadeck/testbed/cloud/CloudService.java
+++ b/testbed/src/main/java/org/fuchsiadeck/testbed/cloud/CloudService.java
@@ -138,6 +138,15 @@
         return list.asOf(System.nanoTime()).backendList();
     }
 
+    /**
+     * Gives the entry instances, without lag.
+     *
+     * @return the entry instances in the order of their ids
+     */
+    public List<NodeInstance> nodes() {
+        return list.asOf(System.nanoTime()).nodeList();
+    }
+
     @Override
     public void close() {
         server.close();
--- a/testbed/src/main/java/org/fuchsiadeck/testbed/engine/EngineServer.java
+++ b/testbed/src/main/java/org/fuchsiadeck/testbed/engine/EngineServer.java
@@ -120,7 +120,10 @@
      */
     public void faults(EngineFaults next) {
         faults = next;
-        core.loop.faults(next);
+        Core running = core;
+        if (running != null) {
+            running.loop.faults(next);
+        }
     }
 
     /**
--- a/testbed/src/main/java/org/fuchsiadeck/testbed/kv/KvSettings.java
+++ b/testbed/src/main/java/org/fuchsiadeck/testbed/kv/KvSettings.java
@@ -3,7 +3,7 @@
 /**
  * Settings of the key-value service.
  *
- * @param port the port, 0 for any
+ * @param port the port that callers use, 0 for any
  * @param proxied whether a proxy stands in front
  * @param writesPerS the rate of writes allowed, per second; 0 for the default
  * @param readsPerS the rate of reads, watches included, allowed, per second; 0 for the default
@@ -22,6 +22,16 @@
         history = history == 0 ? HISTORY : history;
     }
 
+    /**
+     * Changes the port.
+     *
+     * @param next the port, 0 for any
+     * @return the changed copy
+     */
+    public KvSettings withPort(int next) {
+        return new KvSettings(next, proxied, writesPerS, readsPerS, history);
+    }
+
     /**
      * Gives the defaults.
      *
--- a/testbed/src/test/java/org/fuchsiadeck/testbed/TestbedTest.java
+++ b/testbed/src/test/java/org/fuchsiadeck/testbed/TestbedTest.java
@@ -3,15 +3,19 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.fuchsiadeck.testbed.app.AppSettings;
+import org.fuchsiadeck.testbed.cloud.NodeInstance;
 import org.fuchsiadeck.testbed.engine.CostModel;
 import org.fuchsiadeck.testbed.engine.EngineSettings;
 import org.fuchsiadeck.testbed.engine.Tokens;
 import org.fuchsiadeck.testbed.http.Json;
+import org.fuchsiadeck.testbed.kv.KvSettings;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -101,6 +105,30 @@
         }
     }
 
+    @Test
+    void givesNoticeToTheNodesOfAZoneWhenAsked() throws IOException {
+        NodeInstance node = new NodeInstance("n1", "127.0.0.1:7001", "howrah");
+        try (Testbed testbed = Testbed.start(TestbedSpec.of(app("a", "howrah")).withNodes(List.of(node)))) {
+            JsonNode ids = Http.post(testbed.controlAddress(), "/v1/zone/howrah/reclaim?notice_ms=60000&nodes=1", "")
+                    .body();
+            assertThat(ids).isEqualTo(Json.read("{\"ids\":[\"a\",\"n1\"]}", JsonNode.class));
+        }
+    }
+
+    @Test
+    void keepsTheGivenPortForCallersOfAProxy() throws IOException {
+        int port;
+        try (ServerSocket free = new ServerSocket(0)) {
+            port = free.getLocalPort();
+        }
+        KvSettings kv = KvSettings.defaults().withPort(port);
+        KvSettings proxied = new KvSettings(kv.port(), true, 0, 0, 0);
+        try (Testbed testbed = Testbed.start(new TestbedSpec(0, proxied, null, null, null, null))) {
+            assertThat(testbed.address("kv")).isEqualTo("127.0.0.1:" + port);
+            assertThat(testbed.kv().address()).isNotEqualTo(testbed.address("kv"));
+        }
+    }
+
     @Test
     void readsASpecificationWithDefaults() {
         TestbedSpec spec = Json.read(
--- a/testbed/src/test/java/org/fuchsiadeck/testbed/engine/EngineServerTest.java
+++ b/testbed/src/test/java/org/fuchsiadeck/testbed/engine/EngineServerTest.java
@@ -284,6 +284,45 @@
         Until.isTrue(() -> !engine.isRunning());
     }
 
+    @Test
+    void killedEngineCutsItsStreamsAndForgetsItsCache() throws IOException {
+        EngineServer engine = start(SLOW, 2);
+        CompletableFuture<Http.Answer> cut = completeAsync(engine, body(PROMPT, 1_000, ""), "r1");
+        Until.isTrue(() -> engine.audit().tokensComputed() > 52);
+        engine.kill();
+        assertThat(cut.handle((answer, e) -> e).join()).isNotNull();
+        engine.start();
+        JsonNode done = events(complete(engine, body(PROMPT, 1, ""))).get(1);
+        assertThat(done.get("cached_tokens").asInt()).isZero();
+        assertThat(engine.audit().started()).containsEntry("r1/1", 1);
+    }
+
+    @Test
+    void badVersionShowsItsFaultOnlyAboveALoad() throws IOException {
+        EngineServer engine = start(SLOW, 2);
+        engine.faults(EngineFaults.of(new VersionFault("v1", Kind.FAIL, 0, 1, null, 0, 0, 0, false)));
+        CompletableFuture<Http.Answer> alone = completeAsync(engine, body(PROMPT, 1_000, ""), "r1");
+        Until.isTrue(() -> engine.running() == 1);
+        assertThat(complete(engine, body("p", 1, "")).status()).isEqualTo(500);
+        assertThat(alone).isNotDone();
+    }
+
+    @Test
+    void probabilityFollowsItsSeed() throws IOException {
+        EngineServer engine = start(CostModel.free(), 1);
+        VersionFault half = new VersionFault("v1", Kind.FAIL, 0, 0, null, 0.5, 0, 0, false);
+        List<List<Integer>> rounds = new ArrayList<>();
+        for (int round = 0; round < 2; round++) {
+            engine.faults(new EngineFaults(List.of(half), 7));
+            List<Integer> statuses = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                statuses.add(complete(engine, body("p", 1, "")).status());
+            }
+            rounds.add(statuses);
+        }
+        assertThat(rounds.get(0)).contains(200, 500).isEqualTo(rounds.get(1));
+    }
+
     @Test
     void badVersionShowsItsFaultOnlyUnderItsConditions() throws IOException {
         EngineServer engine = start(CostModel.free(), 1);
