--- a/testbed/src/main/java/org/fuchsiadeck/testbed/Host.java
+++ b/testbed/src/main/java/org/fuchsiadeck/testbed/Host.java
@@ -1,8 +1,11 @@
 package org.fuchsiadeck.testbed;
 
+import java.util.concurrent.ScheduledExecutorService;
+
 import org.fuchsiadeck.testbed.app.AppServer;
 import org.fuchsiadeck.testbed.cloud.BackendInstance;
 import org.fuchsiadeck.testbed.engine.EngineServer;
+import org.fuchsiadeck.testbed.engine.EngineState;
 import org.fuchsiadeck.testbed.http.BackendServer;
 
 /**
@@ -13,6 +16,17 @@
  * @param address the address that callers use
  */
 record Host(BackendSpec spec, BackendServer server, String address) {
+    /** Makes the stand-in of a specification. */
+    static BackendServer server(BackendSpec s, ScheduledExecutorService timer) {
+        int port = s.proxied() ? 0 : s.port();
+        if (s.kind() == BackendInstance.Kind.APPLICATION) {
+            return new AppServer(s.id(), s.version(), s.slots(), port, s.app(), timer);
+        }
+        String role = s.roles().isEmpty() ? null : s.roles().get(0);
+        EngineState state = new EngineState(s.version(), s.models(), s.adapters(), role);
+        return new EngineServer(s.id(), state, s.slots(), port, s.engine(), timer);
+    }
+
     EngineServer engine() {
         if (server instanceof EngineServer engine) {
             return engine;
--- a/testbed/src/main/java/org/fuchsiadeck/testbed/Testbed.java
+++ b/testbed/src/main/java/org/fuchsiadeck/testbed/Testbed.java
@@ -3,21 +3,13 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
-import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
-import java.util.concurrent.TimeUnit;
 
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import org.fuchsiadeck.testbed.app.AppServer;
-import org.fuchsiadeck.testbed.cloud.BackendInstance;
 import org.fuchsiadeck.testbed.cloud.CloudService;
 import org.fuchsiadeck.testbed.cloud.NodeInstance;
 import org.fuchsiadeck.testbed.engine.EngineServer;
-import org.fuchsiadeck.testbed.engine.EngineState;
 import org.fuchsiadeck.testbed.http.BackendServer;
 import org.fuchsiadeck.testbed.http.Closer;
 import org.fuchsiadeck.testbed.kv.KvService;
@@ -29,10 +21,6 @@
 public final class Testbed implements AutoCloseable {
     private static final int TIMER_THREADS = 2;
 
-    private static final int PROXY_THREADS = 2;
-
-    private static final long CLOSE_TIMEOUT_S = 2;
-
     private static final String KV = "kv";
 
     private static final String CLOUD = "cloud";
@@ -41,11 +29,9 @@
 
     private final ScheduledExecutorService timer = timer();
 
-    private final EventLoopGroup proxyGroup = new MultiThreadIoEventLoopGroup(PROXY_THREADS, NioIoHandler.newFactory());
-
-    private final Map<String, Host> hosts = new ConcurrentSkipListMap<>();
+    private final ProxySet proxies = closer.add(new ProxySet());
 
-    private final Map<String, FaultProxy> proxies = new ConcurrentSkipListMap<>();
+    private final HostSet hosts = new HostSet();
 
     private final KvService kv;
 
@@ -54,7 +40,6 @@
     private final ControlServer control;
 
     private Testbed(TestbedSpec spec) {
-        closer.add(this::stopProxyThreads);
         closer.add(timer::shutdownNow);
         kv = closer.add(new KvService(spec.kv().proxied() ? spec.kv().withPort(0) : spec.kv(), timer));
         cloud = closer.add(
@@ -106,7 +91,7 @@
      * @throws IllegalArgumentException if there is no such engine
      */
     public EngineServer engine(String id) {
-        return host(id).engine();
+        return hosts.get(id).engine();
     }
 
     /**
@@ -117,7 +102,7 @@
      * @throws IllegalArgumentException if there is no such application
      */
     public AppServer app(String id) {
-        return host(id).app();
+        return hosts.get(id).app();
     }
 
     /**
@@ -128,11 +113,7 @@
      * @throws IllegalArgumentException if there is no such proxy
      */
     public FaultProxy proxy(String id) {
-        FaultProxy proxy = proxies.get(id);
-        if (proxy == null) {
-            throw new IllegalArgumentException("no proxy " + id + ", there are " + proxies.keySet());
-        }
-        return proxy;
+        return proxies.get(id);
     }
 
     /**
@@ -143,14 +124,13 @@
      * @throws IllegalArgumentException if there is no such stand-in
      */
     public String address(String id) {
-        FaultProxy proxy = proxies.get(id);
-        if (proxy != null) {
-            return proxy.address();
+        if (proxies.contains(id)) {
+            return proxies.get(id).address();
         }
         return switch (id) {
             case KV -> kv.address();
             case CLOUD -> cloud.address();
-            default -> host(id).address();
+            default -> hosts.get(id).address();
         };
     }
 
@@ -169,7 +149,7 @@
      * @param id its id
      */
     public void stop(String id) {
-        host(id).server().kill();
+        hosts.get(id).server().kill();
     }
 
     /**
@@ -179,7 +159,7 @@
      * @throws IOException if the port can't be bound
      */
     public void restart(String id) throws IOException {
-        Host host = host(id);
+        Host host = hosts.get(id);
         host.server().start();
         cloud.put(host.instance());
     }
@@ -202,10 +182,7 @@
      * @return the ids that got notice
      */
     public List<String> reclaim(String zone, long noticeMs) {
-        List<String> ids = hosts.values().stream()
-                .filter(h -> h.spec().zone().equals(zone) && h.server().isRunning())
-                .map(h -> h.spec().id())
-                .toList();
+        List<String> ids = hosts.runningIn(zone);
         ids.forEach(id -> leave(id, noticeMs));
         return ids;
     }
@@ -234,14 +211,14 @@
      * @throws IllegalArgumentException if the id is taken
      */
     public synchronized void add(BackendSpec spec) throws IOException {
-        if (hosts.containsKey(spec.id()) || proxies.containsKey(spec.id())) {
+        if (hosts.contains(spec.id()) || proxies.contains(spec.id())) {
             throw new IllegalArgumentException("id " + spec.id() + " is taken");
         }
-        BackendServer server = closer.add(server(spec));
+        BackendServer server = closer.add(Host.server(spec, timer));
         server.start();
-        String address = spec.proxied() ? addProxy(spec.id(), spec.port(), server.address()) : server.address();
+        String address = spec.proxied() ? proxies.add(spec.id(), spec.port(), server.address()) : server.address();
         Host host = new Host(spec, server, address);
-        hosts.put(spec.id(), host);
+        hosts.add(host);
         cloud.put(host.instance());
         if (server instanceof EngineServer engine) {
             engine.onState(s -> cloud.version(spec.id(), s.version()));
@@ -254,11 +231,7 @@
      * @return the counts by entry
      */
     public Map<String, Integer> entryRuns() {
-        Map<String, Integer> runs = new TreeMap<>();
-        hosts.values().stream()
-                .filter(h -> h.spec().kind() == BackendInstance.Kind.APPLICATION)
-                .forEach(h -> h.app().audit().runs().forEach((entry, n) -> runs.merge(entry, n, Integer::sum)));
-        return runs;
+        return hosts.entryRuns();
     }
 
     /**
@@ -267,19 +240,12 @@
      * @return the state now
      */
     public TestbedState state() {
-        List<TestbedState.ProxyState> proxyStates = proxies.entrySet().stream()
-                .map(e -> new TestbedState.ProxyState(
-                        e.getKey(),
-                        e.getValue().address(),
-                        e.getValue().target(),
-                        e.getValue().stats()))
-                .toList();
         return new TestbedState(
                 control.address(),
                 new TestbedState.Service(address(KV), kv.address()),
                 new TestbedState.Service(address(CLOUD), cloud.address()),
-                hosts.values().stream().map(Host::state).toList(),
-                proxyStates);
+                hosts.states(),
+                proxies.states());
     }
 
     @Override
@@ -293,55 +259,25 @@
         cloud.onNotice(this::noticed);
         cloud.start();
         if (spec.kv().proxied()) {
-            addProxy(KV, spec.kv().port(), kv.address());
+            proxies.add(KV, spec.kv().port(), kv.address());
         }
         if (spec.cloud().proxied()) {
-            addProxy(CLOUD, spec.cloud().port(), cloud.address());
+            proxies.add(CLOUD, spec.cloud().port(), cloud.address());
         }
         spec.nodes().forEach(cloud::put);
         for (BackendSpec backend : spec.backends()) {
             add(backend);
         }
         for (ProxySpec proxy : spec.proxies()) {
-            addProxy(proxy.id(), proxy.port(), proxy.target());
+            proxies.add(proxy.id(), proxy.port(), proxy.target());
         }
         control.start();
     }
 
-    private String addProxy(String id, int port, String target) throws IOException {
-        FaultProxy proxy = closer.add(new FaultProxy(port, target, proxyGroup));
-        proxy.start();
-        proxies.put(id, proxy);
-        return proxy.address();
-    }
-
-    private BackendServer server(BackendSpec s) {
-        int port = s.proxied() ? 0 : s.port();
-        if (s.kind() == BackendInstance.Kind.APPLICATION) {
-            return new AppServer(s.id(), s.version(), s.slots(), port, s.app(), timer);
-        }
-        String role = s.roles().isEmpty() ? null : s.roles().get(0);
-        EngineState state = new EngineState(s.version(), s.models(), s.adapters(), role);
-        return new EngineServer(s.id(), state, s.slots(), port, s.engine(), timer);
-    }
-
     private void noticed(String id, long noticeMs) {
-        Host host = hosts.get(id);
-        if (host != null) {
-            host.server().leave(noticeMs);
-        }
-    }
-
-    private void stopProxyThreads() {
-        proxyGroup.shutdownGracefully(0, CLOSE_TIMEOUT_S, TimeUnit.SECONDS).awaitUninterruptibly();
-    }
-
-    private Host host(String id) {
-        Host host = hosts.get(id);
-        if (host == null) {
-            throw new IllegalArgumentException("no backend server " + id + ", there are " + hosts.keySet());
+        if (hosts.contains(id)) {
+            hosts.get(id).server().leave(noticeMs);
         }
-        return host;
     }
 
     private static ScheduledExecutorService timer() {
--- a/testbed/src/main/java/org/fuchsiadeck/testbed/kv/KvService.java
+++ b/testbed/src/main/java/org/fuchsiadeck/testbed/kv/KvService.java
@@ -6,11 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Random;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 
 import org.fuchsiadeck.testbed.http.Exchange;
 import org.fuchsiadeck.testbed.http.Routes;
@@ -26,8 +24,6 @@
 
     private static final long LEASE_CHECK_MS = 5;
 
-    private static final long SEED = 17;
-
     private final ScheduledExecutorService timer;
 
     private final KvStore store;
@@ -40,11 +36,7 @@
 
     private final StandInServer server;
 
-    private final Random random = new Random(SEED);
-
-    private final AtomicInteger lostAnswersLeft = new AtomicInteger();
-
-    private volatile KvFaults faults = KvFaults.none();
+    private final FaultGate gate = new FaultGate();
 
     private Future<?> expiry;
 
@@ -57,9 +49,9 @@
     public KvService(KvSettings settings, ScheduledExecutorService timer) {
         this.timer = timer;
         this.store = new KvStore(settings.history());
-        this.watches = new Watches(store, timer, () -> faults.staleWatchMs());
+        this.watches = new Watches(store, timer, () -> gate.faults().staleWatchMs());
         this.meter = new CallMeter(settings);
-        this.server = new StandInServer("kv", settings.port(), routes(), this::admit);
+        this.server = new StandInServer("kv", settings.port(), routes(), gate::admit);
     }
 
     /**
@@ -87,11 +79,10 @@
      * @param next the faults
      */
     public void faults(KvFaults next) {
-        boolean fell = next.outage() && !faults.outage();
-        faults = next;
-        lostAnswersLeft.set(next.loseNextWriteAnswers());
+        boolean fell = next.outage() && !gate.faults().outage();
+        gate.set(next);
         if (fell) {
-            watches.forEachExchange(this::meetOutage);
+            watches.forEachExchange(gate::meetOutage);
         }
         if (next.watchGap()) {
             store.forgetHistory();
@@ -156,34 +147,13 @@
                 });
     }
 
-    private boolean admit(Exchange x) {
-        if (!faults.outage() || isStandInCall(x)) {
-            return true;
-        }
-        meetOutage(x);
-        return false;
-    }
-
-    private static boolean isStandInCall(Exchange x) {
-        return List.of("v1", "faults").equals(x.path())
-                || List.of("v1", "stats").equals(x.path());
-    }
-
-    private void meetOutage(Exchange x) {
-        switch (faults.mode()) {
-            case REFUSE -> x.drop();
-            case ERROR -> x.json(503, new Routes.Problem("outage"));
-            default -> {} // the caller waits in vain
-        }
-    }
-
     private Routes.Action metered(CallMeter.Kind kind, Routes.Action action) {
         return x -> {
             if (!meter.count(kind)) {
                 x.set("Retry-After", "1").json(429, new Routes.Problem("over the rate"));
                 return;
             }
-            long delay = faults.delayMs();
+            long delay = gate.faults().delayMs();
             if (delay <= 0) {
                 action.run(x);
                 return;
@@ -248,22 +218,13 @@
     }
 
     private void answer(Exchange x, int status, Object body) {
-        if (losesAnswer()) {
+        if (gate.losesAnswer()) {
             x.drop();
             return;
         }
         x.json(status, body);
     }
 
-    private boolean losesAnswer() {
-        if (lostAnswersLeft.getAndUpdate(n -> Math.max(0, n - 1)) > 0) {
-            return true;
-        }
-        synchronized (random) {
-            return random.nextDouble() < faults.loseWriteAnswerRate();
-        }
-    }
-
     private void watch(Exchange x) {
         long wait = Math.min(x.param("wait_ms", 0), MAX_WAIT_MS);
         watches.open(x, x.param("prefix", ""), x.param("after", 0), wait);
--- a/testbed/src/test/java/org/fuchsiadeck/testbed/engine/EngineServerTest.java
+++ b/testbed/src/test/java/org/fuchsiadeck/testbed/engine/EngineServerTest.java
@@ -4,84 +4,20 @@
 import java.net.Socket;
 import java.net.http.HttpRequest;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.fuchsiadeck.testbed.Http;
 import org.fuchsiadeck.testbed.Until;
 import org.fuchsiadeck.testbed.http.Json;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static org.fuchsiadeck.testbed.engine.VersionFault.Kind;
 
 @Timeout(60)
-class EngineServerTest {
-    private static final String PROMPT = "summarise the month of registers ".repeat(10);
-
-    /** So slow that a request of a thousand tokens does not end by itself within a test. */
-    private static final CostModel SLOW = new CostModel(0, 100_000, 0, 0);
-
-    private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
-
-    private final List<EngineServer> engines = new ArrayList<>();
-
-    @AfterEach
-    void stop() {
-        engines.forEach(EngineServer::close);
-        timer.shutdownNow();
-    }
-
-    private EngineServer start(EngineSettings settings, int slots) throws IOException {
-        EngineState state = new EngineState("v1", List.of("m"), List.of(), null);
-        EngineServer engine = new EngineServer("e" + engines.size(), state, slots, 0, settings, timer);
-        engines.add(engine);
-        engine.start();
-        return engine;
-    }
-
-    private EngineServer start(CostModel cost, int slots) throws IOException {
-        return start(EngineSettings.with(cost), slots);
-    }
-
-    private static String body(String prompt, int tokens, String more) {
-        return "{\"model\":\"m\",\"prompt\":" + Json.write(prompt) + ",\"max_tokens\":" + tokens + ",\"stream\":true"
-                + more + "}";
-    }
-
-    private static Http.Answer complete(EngineServer e, String body, String... headers) {
-        return Http.post(e.address(), "/v1/completions", body, headers);
-    }
-
-    private static CompletableFuture<Http.Answer> completeAsync(EngineServer e, String body, String id) {
-        return Http.sendAsync(Http.request(e.address(), "/v1/completions")
-                .headers("X-Request-Id", id, "X-Attempt", "1")
-                .POST(HttpRequest.BodyPublishers.ofString(body)));
-    }
-
-    private static List<JsonNode> events(Http.Answer answer) {
-        return answer.raw()
-                .body()
-                .lines()
-                .filter(l -> l.startsWith("data: "))
-                .map(l -> Json.read(l.substring(6), JsonNode.class))
-                .toList();
-    }
-
-    private static String text(List<JsonNode> events) {
-        StringBuilder text = new StringBuilder();
-        events.stream()
-                .filter(e -> e.has("t"))
-                .forEach(e -> text.append(e.get("t").asText()));
-        return text.toString();
-    }
-
+class EngineServerTest extends EngineFixture {
     @Test
     void streamsTheTokensOfVersionPromptAndPosition() throws IOException {
         EngineServer engine = start(CostModel.free(), 4);
@@ -296,59 +232,4 @@
         assertThat(done.get("cached_tokens").asInt()).isZero();
         assertThat(engine.audit().started()).containsEntry("r1/1", 1);
     }
-
-    @Test
-    void badVersionShowsItsFaultOnlyAboveALoad() throws IOException {
-        EngineServer engine = start(SLOW, 2);
-        engine.faults(EngineFaults.of(new VersionFault("v1", Kind.FAIL, 0, 1, null, 0, 0, 0, false)));
-        CompletableFuture<Http.Answer> alone = completeAsync(engine, body(PROMPT, 1_000, ""), "r1");
-        Until.isTrue(() -> engine.running() == 1);
-        assertThat(complete(engine, body("p", 1, "")).status()).isEqualTo(500);
-        assertThat(alone).isNotDone();
-    }
-
-    @Test
-    void probabilityFollowsItsSeed() throws IOException {
-        EngineServer engine = start(CostModel.free(), 1);
-        VersionFault half = new VersionFault("v1", Kind.FAIL, 0, 0, null, 0.5, 0, 0, false);
-        List<List<Integer>> rounds = new ArrayList<>();
-        for (int round = 0; round < 2; round++) {
-            engine.faults(new EngineFaults(List.of(half), 7));
-            List<Integer> statuses = new ArrayList<>();
-            for (int i = 0; i < 20; i++) {
-                statuses.add(complete(engine, body("p", 1, "")).status());
-            }
-            rounds.add(statuses);
-        }
-        assertThat(rounds.get(0)).contains(200, 500).isEqualTo(rounds.get(1));
-    }
-
-    @Test
-    void badVersionShowsItsFaultOnlyUnderItsConditions() throws IOException {
-        EngineServer engine = start(CostModel.free(), 1);
-        engine.faults(EngineFaults.of(
-                new VersionFault("v1", Kind.FAIL, 1, 0, "drafts", 0, 0, 0, false),
-                VersionFault.always("v2", Kind.FAIL)));
-        assertThat(complete(engine, body("p", 1, ""), "X-Route", "drafts").status())
-                .isEqualTo(200);
-        assertThat(complete(engine, body("p", 1, ""), "X-Route", "drafts").status())
-                .isEqualTo(500);
-        assertThat(complete(engine, body("p", 1, ""), "X-Route", "questions").status())
-                .isEqualTo(200);
-    }
-
-    @Test
-    void badVersionCutsOrCrossesAnswers() throws IOException {
-        EngineServer engine = start(CostModel.free(), 1);
-        engine.faults(EngineFaults.of(new VersionFault("v1", Kind.CUT, 0, 0, null, 0, 3, 0, false)));
-        assertThat(events(complete(engine, body("p", 9, "")))).hasSize(3).noneMatch(e -> e.has("done"));
-        engine.faults(EngineFaults.of(VersionFault.always("v1", Kind.WRONG)));
-        assertThat(text(events(complete(engine, body("p", 9, ""))))).isNotEqualTo(Tokens.text("v1", "p", 9));
-        engine.faults(EngineFaults.of(new VersionFault("v1", Kind.WRONG, 0, 0, null, 0, 0, 0, true)));
-        assertThat(complete(engine, body("p", 9, ""), "X-Request-Id", "r").header("X-Request-Id"))
-                .isEqualTo("not-r");
-        engine.faults(EngineFaults.of(new VersionFault("v1", Kind.FAIL, 0, 0, null, 0, 2, 0, false)));
-        assertThat(events(complete(engine, body("p", 9, ""))).get(2).has("error"))
-                .isTrue();
-    }
 }
