--- a/cli/src/main/java/org/fuchsiadeck/cli/Main.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/Main.java
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.ToIntFunction;
 
@@ -10,6 +11,11 @@
 import org.fuchsiadeck.cli.config.ExplainCommand;
 import org.fuchsiadeck.cli.config.HistoryCommand;
 import org.fuchsiadeck.cli.config.ShowCommand;
+import org.fuchsiadeck.cli.load.LoadCommand;
+import org.fuchsiadeck.cli.rollout.ReportCommand;
+import org.fuchsiadeck.cli.rollout.StartCommand;
+import org.fuchsiadeck.cli.rollout.StatusCommand;
+import org.fuchsiadeck.cli.rollout.StopCommand;
 import org.fuchsiadeck.cli.state.DumpCommand;
 import org.fuchsiadeck.cli.state.MembersCommand;
 import org.fuchsiadeck.cli.state.OperatorCalls;
@@ -22,7 +28,7 @@
  */
 public final class Main {
     private static final ToIntFunction<Path> NODE = NodeDaemon::run;
-    private static final ToIntFunction<Path> TESTBED = TestbedDaemon::run;
+    private static final ToIntFunction<List<String>> TESTBED = TestbedDaemon::run;
 
     private Main() {}
 
@@ -50,8 +56,13 @@
         out.put("config diff", new DiffCommand(connector));
         out.put("config explain", new ExplainCommand(connector));
         out.put("config history", new HistoryCommand(connector));
+        out.put("rollout start", new StartCommand(connector));
+        out.put("rollout status", new StatusCommand(connector));
+        out.put("rollout report", new ReportCommand(connector));
+        out.put("rollout stop", new StopCommand(connector));
         out.put("members", new MembersCommand(operator));
         out.put("dump", new DumpCommand(operator));
+        out.putAll(LoadCommand.all());
         out.put("node", new NodeCommand(NODE));
         out.put("testbed", new TestbedCommand(TESTBED));
         return out;
--- a/node/src/main/java/org/fuchsiadeck/node/Node.java
+++ b/node/src/main/java/org/fuchsiadeck/node/Node.java
@@ -64,7 +64,7 @@
         this.settings = settings;
         this.parts = parts;
         this.loop = new EventLoop(NodeState.initial(settings.identity()), parts.decisions(), effects, metrics);
-        this.drain = new Drain(this::beginDrain, () -> exchanges.size() + callers.unfinished());
+        this.drain = new Drain(this::beginDrain, () -> exchanges.size() + callers.unfinished(), this::handedOver);
     }
 
     /**
@@ -166,6 +166,10 @@
         }
     }
 
+    private boolean handedOver() {
+        return loop.state().claims().handedOver(settings.identity().id());
+    }
+
     private void beginDrain(long noticeMs) {
         log.write(EventCode.NODE_DRAINING, settings.identity().id() + " notice " + noticeMs + " ms");
         callers.drain();
@@ -210,6 +214,7 @@
         json.set("unready", StateJson.of(unready()));
         json.set("settings", StateJson.of(settings));
         json.put("config_revision", configuration().revision());
+        json.set("members", StateJson.of(state.members().members()));
         json.set("idle_connections", StateJson.of(backends.idleConnections()));
         json.put("requests_open", exchanges.size());
         json.set("state", StateJson.of(state));
--- a/testbed/src/main/java/org/fuchsiadeck/testbed/http/Exchange.java
+++ b/testbed/src/main/java/org/fuchsiadeck/testbed/http/Exchange.java
@@ -1,11 +1,10 @@
 package org.fuchsiadeck.testbed.http;
 
 import java.io.IOException;
-import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
-import java.util.List;
 import java.util.Map;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicBoolean;
 
 import org.glassfish.grizzly.CloseListener;
@@ -19,133 +18,38 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 
-import static java.util.stream.Collectors.toList;
-
 /**
  * One request and the way to answer it. The answer may be given later and from any thread, but from one at a time; the
  * first answer wins and later ones are ignored.
  */
-public final class Exchange {
+public final class Exchange extends IncomingRequest {
     private static final String JSON = "application/json;charset=UTF-8";
 
-    private final Request request;
-
     private final Response response;
 
-    private final List<String> path;
+    private final Connection<?> connection;
 
     private final AtomicBoolean answered = new AtomicBoolean();
 
     private volatile CloseListener<Closeable, CloseType> closeListener;
 
-    private List<String> args = List.of();
-
-    private String body = "";
-
     Exchange(Request request, Response response) {
-        this.request = request;
+        super(request);
         this.response = response;
-        this.path = segments(request.getRequestURI());
-    }
-
-    static List<String> segments(String uri) {
-        return Arrays.stream(uri.split("/"))
-                .filter(s -> !s.isEmpty())
-                .map(s -> URLDecoder.decode(s.replace("+", "%2B"), StandardCharsets.UTF_8))
-                .collect(toList());
-    }
-
-    void args(List<String> values) {
-        args = values;
-    }
-
-    void body(String text) {
-        body = text;
-    }
-
-    /**
-     * Gives the method.
-     *
-     * @return the HTTP method
-     */
-    public String method() {
-        return request.getMethod().getMethodString();
-    }
-
-    /**
-     * Gives the path.
-     *
-     * @return the decoded segments
-     */
-    public List<String> path() {
-        return path;
-    }
-
-    /**
-     * Gives a path segment that a {@code *} of the route matched.
-     *
-     * @param i which one, from 0
-     * @return the decoded segment
-     */
-    public String arg(int i) {
-        return args.get(i);
-    }
-
-    /**
-     * Gives a query parameter.
-     *
-     * @param name its name
-     * @param fallback the value if it is absent
-     * @return the value
-     */
-    public String param(String name, String fallback) {
-        String value = request.getParameter(name);
-        return value == null ? fallback : value;
-    }
-
-    /**
-     * Gives a numeric query parameter.
-     *
-     * @param name its name
-     * @param fallback the value if it is absent
-     * @return the value
-     * @throws IllegalArgumentException if it is no number
-     */
-    public long param(String name, long fallback) {
-        String value = request.getParameter(name);
-        return value == null ? fallback : Long.parseLong(value);
-    }
-
-    /**
-     * Gives a request header.
-     *
-     * @param name its name
-     * @return the value, empty if absent
-     */
-    public String header(String name) {
-        String value = request.getHeader(name);
-        return value == null ? "" : value;
+        this.connection = request.getRequest().getConnection();
     }
 
-    /**
-     * Gives the body.
-     *
-     * @return the text
-     */
-    public String body() {
-        return body;
+    void begin() {
+        ReadGate.begin(connection);
     }
 
-    /**
-     * Reads the body as JSON.
-     *
-     * @param <T> the type wanted
-     * @param type the type wanted
-     * @return the value
-     * @throws IllegalArgumentException if the body is not of the type
-     */
-    public <T> T body(Class<T> type) {
-        return Json.read(body, type);
+    /** Notices a closed connection from now on if the answer is still to come. */
+    void watch() {
+        try {
+            ReadGate.watch(connection);
+        } catch (IOException e) {
+            connection.terminateSilently();
+        }
     }
 
     /**
@@ -169,8 +73,10 @@
     public void json(int status, Object value) {
         if (claim()) {
             byte[] bytes = Json.write(value).getBytes(StandardCharsets.UTF_8);
-            send(status, bytes, bytes.length);
-            end();
+            onWorker(() -> {
+                send(status, bytes, bytes.length);
+                end();
+            });
         }
     }
 
@@ -190,8 +96,10 @@
     public void half(int status, Object value) {
         if (claim()) {
             byte[] bytes = Json.write(value).getBytes(StandardCharsets.UTF_8);
-            send(status, Arrays.copyOf(bytes, bytes.length / 2), bytes.length);
-            connection().closeSilently();
+            onWorker(() -> {
+                send(status, Arrays.copyOf(bytes, bytes.length / 2), bytes.length);
+                connection.closeSilently();
+            });
         }
     }
 
@@ -201,14 +109,10 @@
      * @param status the HTTP status
      * @param value what is written as JSON
      * @param surplus bytes that follow the answer
-     * @throws IOException if the connection is closed
      */
-    public void jsonThenBytes(int status, Object value, byte[] surplus) throws IOException {
-        Connection<?> to = connection();
+    public void jsonThenBytes(int status, Object value, byte[] surplus) {
         json(status, value);
-        Transport transport = to.getTransport();
-        var buffer = Buffers.wrap(transport.getMemoryManager(), surplus);
-        ((TCPNIOTransport) transport).write((TCPNIOConnection) to, buffer);
+        onWorker(() -> writeRaw(surplus));
     }
 
     /**
@@ -223,7 +127,7 @@
             response.setStatus(200);
             response.setContentType(contentType);
         }
-        return new ChunkStream(response, connection(), !first, this::forgetCloseListener);
+        return new ChunkStream(response, connection, !first, () -> onWorker(this::end));
     }
 
     /**
@@ -231,7 +135,7 @@
      */
     public void drop() {
         answered.set(true);
-        connection().terminateSilently();
+        connection.terminateSilently();
     }
 
     /**
@@ -242,7 +146,7 @@
     public void onClose(Runnable action) {
         forgetCloseListener();
         closeListener = (c, type) -> action.run();
-        connection().addCloseListener(closeListener);
+        connection.addCloseListener(closeListener);
     }
 
     /**
@@ -251,7 +155,7 @@
      * @return false once answered or dropped
      */
     public boolean isOpen() {
-        return !answered.get() && connection().isOpen();
+        return !answered.get() && connection.isOpen();
     }
 
     private void send(int status, byte[] bytes, int length) {
@@ -263,28 +167,46 @@
             out.write(bytes);
             out.flush();
         } catch (IOException e) {
-            connection().terminateSilently();
+            connection.terminateSilently();
         }
     }
 
+    /** Ends the answer. On the worker, so that the server is done with the request before it is resumed. */
     private void end() {
         forgetCloseListener();
-        response.finish();
-        response.resume();
+        if (connection.isOpen()) {
+            response.finish();
+            response.resume();
+            ReadGate.end(connection);
+        }
+    }
+
+    private void writeRaw(byte[] bytes) {
+        Transport transport = connection.getTransport();
+        var buffer = Buffers.wrap(transport.getMemoryManager(), bytes);
+        try {
+            ((TCPNIOTransport) transport).write((TCPNIOConnection) connection, buffer);
+        } catch (IOException e) {
+            connection.terminateSilently();
+        }
+    }
+
+    private void onWorker(Runnable action) {
+        try {
+            connection.getTransport().getWorkerThreadPool().execute(action);
+        } catch (RejectedExecutionException e) {
+            connection.terminateSilently(); // the server has been killed
+        }
     }
 
     private void forgetCloseListener() {
         CloseListener<Closeable, CloseType> listener = closeListener;
         if (listener != null) {
-            connection().removeCloseListener(listener);
+            connection.removeCloseListener(listener);
         }
     }
 
     private boolean claim() {
-        return answered.compareAndSet(false, true) && connection().isOpen();
-    }
-
-    private Connection<?> connection() {
-        return request.getRequest().getConnection();
+        return answered.compareAndSet(false, true) && connection.isOpen();
     }
 }
