--- a/scenarios/src/test/java/org/fuchsiadeck/scenarios/Caller.java
+++ b/scenarios/src/test/java/org/fuchsiadeck/scenarios/Caller.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.IntConsumer;
 import java.util.stream.Stream;
 
 /** A caller that talks to one entry node. */
@@ -39,9 +40,33 @@
                 .handle((answer, error) -> error == null ? Answer.of(answer) : Answer.lost(error));
     }
 
+    /** Sends an entry of a meal. */
+    Answer enter(String entry, Optional<String> key) {
+        return enterLater(entry, key).join();
+    }
+
+    CompletableFuture<Answer> enterLater(String entry, Optional<String> key) {
+        return postLater("/registers/school-1/entries", "{\"entry\":\"" + entry + "\"}", key);
+    }
+
+    Answer get(String path) {
+        HttpRequest request = HttpRequest.newBuilder(URI.create(base + path))
+                .timeout(LIMIT)
+                .header("X-Team", team)
+                .build();
+        return http.sendAsync(request, BodyHandlers.ofString())
+                .handle((answer, error) -> error == null ? Answer.of(answer) : Answer.lost(error))
+                .join();
+    }
+
     CompletableFuture<Streamed> stream(String path, String json) {
+        return stream(path, json, n -> {});
+    }
+
+    /** Reads a stream; the given action takes the number of events read after each. */
+    CompletableFuture<Streamed> stream(String path, String json, IntConsumer progress) {
         return http.sendAsync(request(path, json, Optional.empty()), BodyHandlers.ofLines())
-                .thenApplyAsync(Streamed::read)
+                .thenApplyAsync(answer -> Streamed.read(answer, progress))
                 .exceptionally(Streamed::lost);
     }
 
@@ -83,6 +108,18 @@
         boolean notRun() {
             return outcome.equals("not-run");
         }
+
+        boolean unknown() {
+            return outcome.equals("unknown");
+        }
+
+        boolean duplicate() {
+            return outcome.equals("duplicate");
+        }
+
+        boolean alreadyAnswered() {
+            return duplicate() && body.contains("already_answered");
+        }
     }
 
     /**
@@ -92,12 +129,15 @@
      * @param events the data of the events, in order
      */
     record Streamed(int status, List<String> events) {
-        static Streamed read(HttpResponse<Stream<String>> answer) {
+        static Streamed read(HttpResponse<Stream<String>> answer, IntConsumer progress) {
             List<String> events = new ArrayList<>();
             try (Stream<String> lines = answer.body()) {
                 lines.filter(l -> l.startsWith("data: "))
                         .map(l -> l.substring("data: ".length()))
-                        .forEach(events::add);
+                        .forEach(event -> {
+                            events.add(event);
+                            progress.accept(events.size());
+                        });
             } catch (RuntimeException e) {
                 events.add("{\"cut\":\"" + e.getClass().getSimpleName() + "\"}");
             }
--- a/scenarios/src/test/java/org/fuchsiadeck/scenarios/Deployment.java
+++ b/scenarios/src/test/java/org/fuchsiadeck/scenarios/Deployment.java
@@ -6,6 +6,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import org.fuchsiadeck.core.model.Address;
 import org.fuchsiadeck.node.config.Accepted;
@@ -18,6 +21,11 @@
 import org.fuchsiadeck.testbed.ProxySpec;
 import org.fuchsiadeck.testbed.Testbed;
 import org.fuchsiadeck.testbed.TestbedSpec;
+import org.fuchsiadeck.testbed.app.AppFault;
+import org.fuchsiadeck.testbed.app.AppFaults;
+import org.fuchsiadeck.testbed.cloud.BackendInstance;
+import org.fuchsiadeck.testbed.cloud.NodeInstance;
+import org.fuchsiadeck.testbed.proxy.ProxyAction;
 import org.fuchsiadeck.testbed.proxy.ProxyFaults;
 
 /** Stand-ins in this process and entry nodes as processes of their own; each node's peers reach it through a proxy. */
@@ -30,11 +38,16 @@
     private final Testbed testbed;
     private final List<String> zones;
     private final List<NodePlan> plans;
+    private final List<String> apps;
     private final List<NodeProcess> nodes = new ArrayList<>();
     private int started;
 
     private Deployment(Path folder, Testbed testbed, List<String> zones, List<NodePlan> plans) {
         this.folder = folder;
+        this.apps = testbed.cloud().backends().stream()
+                .filter(b -> b.kind() == BackendInstance.Kind.APPLICATION)
+                .map(BackendInstance::id)
+                .toList();
         this.testbed = testbed;
         this.zones = zones;
         this.plans = plans;
@@ -99,7 +112,9 @@
 
     /** Starts the next node of the plan; the plan has two more than were started at first. */
     NodeProcess startNode() {
-        NodeProcess node = NodeProcess.start(plans.get(started), folder);
+        NodePlan plan = plans.get(started);
+        testbed.cloud().put(new NodeInstance(plan.id(), plan.peerAddress(), plan.zone()));
+        NodeProcess node = NodeProcess.start(plan, folder);
         started++;
         nodes.add(node);
         return node;
@@ -121,6 +136,30 @@
         }
     }
 
+    /** Sets the faults of the proxies before every backend server of a service. */
+    void serviceFaults(String service, ProxyFaults faults) {
+        backends(service).forEach(id -> proxyFaults(id, faults));
+    }
+
+    /** Takes the faults of a service's proxies away, with all connections, silent ones included. */
+    void renewConnections(String service) {
+        serviceFaults(service, ProxyFaults.of(ProxyAction.CUT));
+        Set<String> addresses = backends(service).stream().map(testbed::address).collect(Collectors.toSet());
+        Waiting.until(
+                "the nodes have seen the connections close",
+                () -> live().stream()
+                        .noneMatch(n -> n.idleConnections().stream().anyMatch(addresses::contains)));
+    }
+
+    /** Sets the faults of every application. */
+    void appFaults(AppFault... faults) {
+        apps.forEach(id -> testbed.app(id).faults(AppFaults.of(faults)));
+    }
+
+    List<String> apps() {
+        return apps;
+    }
+
     /** Sets the faults of the proxy before a node's peers. */
     void peerFaults(int node, ProxyFaults faults) {
         proxyFaults(peerProxy(node), faults);
@@ -138,6 +177,41 @@
         return zones;
     }
 
+    /** Gives the ids of the backend servers that run a service. */
+    List<String> backends(String service) {
+        return testbed.cloud().backends().stream()
+                .filter(b -> b.service().equals(service))
+                .map(BackendInstance::id)
+                .toList();
+    }
+
+    /** Waits until no application works on a request, and gives how often each entry ran. */
+    Map<String, Integer> runs() {
+        Waiting.until(
+                "the applications are idle",
+                () -> apps.stream().allMatch(id -> testbed.app(id).running() == 0));
+        return testbed.entryRuns();
+    }
+
+    /** Waits until every node that lives has a revision of the configuration in force. */
+    void awaitRevision(long revision) {
+        Waiting.until(
+                "revision " + revision + " is in force everywhere",
+                () -> live().stream().allMatch(n -> n.configRevision() == revision));
+    }
+
+    List<NodeProcess> live() {
+        return nodes.stream().filter(NodeProcess::alive).toList();
+    }
+
+    /** Waits until the nodes that live, and no others, keep the idempotency keys. */
+    void awaitKeysKept() {
+        Set<String> ids = live().stream().map(n -> n.plan().id()).collect(Collectors.toSet());
+        Waiting.until(
+                "the keys are kept by " + ids,
+                () -> live().stream().allMatch(n -> n.keepers().equals(List.of(ids))));
+    }
+
     @Override
     public void close() {
         nodes.forEach(NodeProcess::close);
--- a/scenarios/src/test/java/org/fuchsiadeck/scenarios/NodeProcess.java
+++ b/scenarios/src/test/java/org/fuchsiadeck/scenarios/NodeProcess.java
@@ -9,7 +9,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -82,6 +85,32 @@
         }
     }
 
+    long configRevision() {
+        return dump().path("config_revision").asLong(-1);
+    }
+
+    /** Gives the addresses to which the node keeps idle connections. */
+    Set<String> idleConnections() {
+        Set<String> addresses = new TreeSet<>();
+        dump().path("idle_connections").fields().forEachRemaining(e -> {
+            if (e.getValue().asInt() > 0) {
+                addresses.add(e.getKey());
+            }
+        });
+        return addresses;
+    }
+
+    /** Gives the nodes of each roster of the idempotency keys in force, the newest last. */
+    List<Set<String>> keepers() {
+        List<Set<String>> keepers = new ArrayList<>();
+        for (JsonNode roster : dump().at("/state/claims/chain/rosters")) {
+            Set<String> ids = new TreeSet<>();
+            roster.path("members").fieldNames().forEachRemaining(ids::add);
+            keepers.add(ids);
+        }
+        return keepers;
+    }
+
     /** Sends SIGTERM. */
     void terminate() {
         process.destroy();
--- a/scenarios/src/test/java/org/fuchsiadeck/scenarios/Waiting.java
+++ b/scenarios/src/test/java/org/fuchsiadeck/scenarios/Waiting.java
@@ -5,7 +5,7 @@
 
 /** Waits for conditions. */
 final class Waiting {
-    private static final Duration LIMIT = Duration.ofSeconds(30);
+    private static final Duration LIMIT = Duration.ofSeconds(20);
     private static final long PAUSE_MS = 20;
 
     private Waiting() {}
