--- a/scenarios/src/test/java/org/fuchsiadeck/scenarios/Caller.java
+++ b/scenarios/src/test/java/org/fuchsiadeck/scenarios/Caller.java
@@ -50,13 +50,16 @@
     }
 
     Answer get(String path) {
+        return getLater(path).join();
+    }
+
+    CompletableFuture<Answer> getLater(String path) {
         HttpRequest request = HttpRequest.newBuilder(URI.create(base + path))
                 .timeout(LIMIT)
                 .header("X-Team", team)
                 .build();
         return http.sendAsync(request, BodyHandlers.ofString())
-                .handle((answer, error) -> error == null ? Answer.of(answer) : Answer.lost(error))
-                .join();
+                .handle((answer, error) -> error == null ? Answer.of(answer) : Answer.lost(error));
     }
 
     CompletableFuture<Streamed> stream(String path, String json) {
--- a/scenarios/src/test/java/org/fuchsiadeck/scenarios/Deployment.java
+++ b/scenarios/src/test/java/org/fuchsiadeck/scenarios/Deployment.java
@@ -2,6 +2,10 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -124,15 +128,33 @@
         return new Caller(nodes.get(node).plan().callerPort(), team);
     }
 
-    /** Applies a configuration as an operator would, and returns what was accepted. */
-    Accepted apply(String configuration) {
+    /** Applies a configuration as an operator would, and returns its revision. */
+    long apply(String configuration) {
         Address kv = Address.parse(testbed.address("kv"));
         try (KeyValueStore store = HttpKeyValueStore.open(kv, CALL_TIMEOUT_MS)) {
             ConfigStore operators = new ConfigStore(store, Timing.system(), PATIENCE_MS);
             long base = operators.current().get().map(Accepted::revision).orElse(0L);
             String id = "scenario-" + System.nanoTime();
             Outcome outcome = operators.apply(new Proposal(configuration, "scenario", "a test", base, id));
-            return operators.current().get().orElseThrow(() -> new AssertionError("not accepted: " + outcome));
+            if (outcome instanceof Outcome.Done done) {
+                return done.revision();
+            }
+            throw new AssertionError("not accepted: " + outcome);
+        }
+    }
+
+    /** Deletes the accepted configuration, as a platform's service that was restored from an old copy would. */
+    void deleteConfiguration() {
+        HttpRequest request = HttpRequest.newBuilder(
+                        URI.create("http://" + testbed.address("kv") + "/v1/kv/config%2Fcurrent"))
+                .DELETE()
+                .build();
+        int status = HttpClient.newHttpClient()
+                .sendAsync(request, HttpResponse.BodyHandlers.discarding())
+                .join()
+                .statusCode();
+        if (status != 200) {
+            throw new AssertionError("the configuration can't be deleted: " + status);
         }
     }
 
--- a/scenarios/src/test/java/org/fuchsiadeck/scenarios/NodeProcess.java
+++ b/scenarios/src/test/java/org/fuchsiadeck/scenarios/NodeProcess.java
@@ -100,6 +100,18 @@
         return addresses;
     }
 
+    /** Tells whether the node knows a backend server. */
+    boolean knows(String backend) {
+        return dump().at("/state/requests/fleet/servers").has(backend);
+    }
+
+    /** Gives the backend servers that the node knows to leave. */
+    Set<String> departures() {
+        Set<String> ids = new TreeSet<>();
+        dump().at("/state/requests/fleet/departures").fieldNames().forEachRemaining(ids::add);
+        return ids;
+    }
+
     /** Gives the nodes of each roster of the idempotency keys in force, the newest last. */
     List<Set<String>> keepers() {
         List<Set<String>> keepers = new ArrayList<>();
--- a/scenarios/src/test/java/org/fuchsiadeck/scenarios/RunCountTest.java
+++ b/scenarios/src/test/java/org/fuchsiadeck/scenarios/RunCountTest.java
@@ -80,13 +80,12 @@
 
     @Test
     void usesNoConnectionThatHasBeenIdleForLongerThanIsAllowed() {
-        long revision = howrah.apply(configuration(0)).revision();
-        howrah.awaitRevision(revision);
+        howrah.awaitRevision(howrah.apply(configuration(0)));
         for (int i = 0; i < TRIES; i++) {
             assertThat(enter(i, Optional.empty()).status()).isEqualTo(201);
             howrah.serviceFaults("registers", ProxyFaults.of(ProxyAction.SILENCE));
         }
-        howrah.awaitRevision(howrah.apply(configuration(1_000)).revision());
+        howrah.awaitRevision(howrah.apply(configuration(1_000)));
     }
 
     @Test
