--- a/scenarios/src/test/java/org/fuchsiadeck/scenarios/Deployment.java
+++ b/scenarios/src/test/java/org/fuchsiadeck/scenarios/Deployment.java
@@ -6,8 +6,13 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.fuchsiadeck.core.model.Address;
+import org.fuchsiadeck.core.rollout.BookText;
+import org.fuchsiadeck.core.rollout.RolloutBook;
+import org.fuchsiadeck.core.rollout.RolloutReducer;
 import org.fuchsiadeck.node.config.Accepted;
 import org.fuchsiadeck.node.config.ConfigStore;
 import org.fuchsiadeck.node.config.Outcome;
@@ -121,6 +126,15 @@
         }
     }
 
+    /** Writes the book of rollouts over whatever is there. */
+    void putBook(RolloutBook book) {
+        Address kv = Address.parse(testbed.address("kv"));
+        try (KeyValueStore store = HttpKeyValueStore.open(kv, CALL_TIMEOUT_MS)) {
+            KeyValueStore.await(
+                    store.put(RolloutReducer.BOOK_KEY, BookText.write(book), OptionalLong.empty(), Optional.empty()));
+        }
+    }
+
     /** Sets the faults of the proxy before a node's peers. */
     void peerFaults(int node, ProxyFaults faults) {
         proxyFaults(peerProxy(node), faults);
