--- a/core/src/main/java/org/fuchsiadeck/core/claim/Roster.java
+++ b/core/src/main/java/org/fuchsiadeck/core/claim/Roster.java
@@ -1,7 +1,7 @@
 package org.fuchsiadeck.core.claim;
 
 import java.util.ArrayList;
-import java.util.Comparator;
+import java.util.Collections;
 import java.util.List;
 
 import io.vavr.collection.Set;
@@ -32,24 +32,35 @@
 
     Vector<NodeId> owners(String key) {
         long hash = hash(key);
-        List<Peer> ranked = new ArrayList<>(members.values().asJava());
-        ranked.sort(Comparator.<Peer>comparingLong(p -> SplitMix64.mix(hash ^ SplitMix64.mix(hash(p.id().value()))))
-                .thenComparing(Peer::id));
+        List<Ranked> ranked = new ArrayList<>();
+        for (Peer peer : members.values()) {
+            ranked.add(new Ranked(
+                    peer, SplitMix64.mix(hash ^ SplitMix64.mix(hash(peer.id().value())))));
+        }
+        Collections.sort(ranked);
         List<Peer> chosen = new ArrayList<>();
-        for (Peer peer : ranked) {
+        for (Ranked r : ranked) {
             if (chosen.size() < OWNERS
-                    && chosen.stream().noneMatch(c -> c.zone().equals(peer.zone()))) {
-                chosen.add(peer);
+                    && chosen.stream().noneMatch(c -> c.zone().equals(r.peer.zone()))) {
+                chosen.add(r.peer);
             }
         }
-        for (Peer peer : ranked) {
-            if (chosen.size() < OWNERS && !chosen.contains(peer)) {
-                chosen.add(peer);
+        for (Ranked r : ranked) {
+            if (chosen.size() < OWNERS && !chosen.contains(r.peer)) {
+                chosen.add(r.peer);
             }
         }
         return Vector.ofAll(chosen).map(Peer::id);
     }
 
+    private record Ranked(Peer peer, long score) implements Comparable<Ranked> {
+        @Override
+        public int compareTo(Ranked other) {
+            int byScore = Long.compare(score, other.score);
+            return byScore != 0 ? byScore : peer.id().compareTo(other.peer.id());
+        }
+    }
+
     private static long hash(String text) {
         long hash = FNV_OFFSET;
         for (int i = 0; i < text.length(); i++) {
--- a/core/src/main/java/org/fuchsiadeck/core/membership/Rounds.java
+++ b/core/src/main/java/org/fuchsiadeck/core/membership/Rounds.java
@@ -79,24 +79,27 @@
 
     private MembershipState probe(MembershipState state, List<Effect> out) {
         MembershipState next = state;
-        Vector<Member> order =
-                next.probing().order().flatMap(id -> present(state).find(m -> m.id().equals(id)));
+        Vector<NodeId> order = next.probing().order().dropWhile(id -> !isPresent(state, id));
         if (order.isEmpty()) {
-            Drawn<Member> drawn = next.random().shuffle(present(next));
+            Drawn<NodeId> drawn = next.random().shuffle(present(next).map(Member::id));
             order = drawn.items();
             next = next.with(drawn.random());
         }
         if (order.isEmpty()) {
             return next;
         }
-        Member target = order.head();
-        Probing probing = next.probing().withOrder(order.tail().map(Member::id)).probe(target.id());
+        Member target = next.table().entries().get(order.head()).get().member();
+        Probing probing = next.probing().withOrder(order.tail()).probe(target.id());
         next = next.with(probing);
         long sequence = probing.sequence();
         out.add(new Effect.Schedule(nowMs + DIRECT_PROBE_MS, new MembershipEvent.ProbeLate(sequence)));
         return conversation.ping(next, target.id(), target.address(), sequence, out);
     }
 
+    private static boolean isPresent(MembershipState state, NodeId id) {
+        return state.table().entries().get(id).exists(e -> e.member().status() != Status.DEAD);
+    }
+
     private static Vector<Member> present(MembershipState state) {
         return state.members().filter(m -> m.status() != Status.DEAD);
     }
--- a/core/src/test/java/org/fuchsiadeck/core/claim/ClaimReducerTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/claim/ClaimReducerTest.java
@@ -14,6 +14,7 @@
 import org.fuchsiadeck.core.claim.ClaimMessage.Pull;
 import org.fuchsiadeck.core.claim.ClaimMessage.PullReply;
 import org.fuchsiadeck.core.claim.ClaimMessage.Reply;
+import org.fuchsiadeck.core.claim.ClaimMessage.Request;
 import org.fuchsiadeck.core.claim.ClaimMessage.RosterNews;
 import org.fuchsiadeck.core.claim.ClaimMessage.Verdict;
 import org.fuchsiadeck.core.config.Configuration;
@@ -50,6 +51,20 @@
         }
     }
 
+    @Test
+    void grantsNothingByOlderRostersOnceItsClaimsWereRead() {
+        RosterChain older = new RosterChain(5, Vector.of(CHAIN.rosters().head()));
+        reduce(0, new PeerReceived(id("b"), new RosterNews(older)));
+        state = state.with(state.contacts().agreed(id("b"), 0).agreed(id("c"), 0));
+        ClaimId first = new ClaimId(id("b"), 1);
+        ClaimId second = new ClaimId(id("b"), 2);
+        assertThat(reduce(1, new PeerReceived(id("b"), new Request(first, "early", 5))))
+                .contains(new Effect.Send(id("b"), new Reply(first, Verdict.GRANTED, 5)));
+        reduce(2, new PeerReceived(id("c"), new Pull(CHAIN, "")));
+        assertThat(reduce(3, new PeerReceived(id("b"), new Request(second, "late", 5))))
+                .contains(new Effect.Send(id("b"), new Reply(second, Verdict.STALE, 9)));
+    }
+
     @Test
     void handsOverClaimsThatFollowManyExpiredOnes() {
         ClaimId expired = new ClaimId(id("x"), 1);
--- a/node/src/test/java/org/fuchsiadeck/node/peer/PeerCodecsTest.java
+++ b/node/src/test/java/org/fuchsiadeck/node/peer/PeerCodecsTest.java
@@ -62,6 +62,30 @@
         }
     }
 
+    @Test
+    void framesOfAClaimStaySmall() {
+        ClaimId id = new ClaimId(new NodeId("entry-howrah-1-0123456789abcdef"), 100_000);
+        String key = "board/meal-entries/0f8fad5b-d9cb-469f-a165-70867728950e";
+        List<PeerMessage> claim = List.of(
+                new ClaimMessage.Request(id, key, 100_000),
+                new ClaimMessage.Reply(id, ClaimMessage.Verdict.GRANTED, 100_000),
+                new ClaimMessage.Settle(id, key, ClaimStatus.ANSWERED),
+                new ClaimMessage.SettleAck(id));
+        int total = 0;
+        for (PeerMessage message : claim) {
+            int bytes = frameBytes(message);
+            total += bytes;
+            System.out.println(message.getClass().getSimpleName() + " frame bytes: " + bytes);
+        }
+        assertThat(total).isLessThan(1_000);
+    }
+
+    private static int frameBytes(PeerMessage message) {
+        MessageCodec<?> codec = CODECS.of(message);
+        String id = "entry-howrah-1-0123456789abcdef";
+        return Wire.frame(id, id, codec.number(), codec.encoded(message)).getSerializedSize();
+    }
+
     static List<PeerMessage> messages() {
         Member a = member(Member.Status.ALIVE);
         Member b = member(Member.Status.SUSPECT);
