Take an engine's KV cache over when a stream moves

Cause: the decisions may ask for an export and import when an engine leaves; the data path ignored it, left the earlier attempt running and computed the tokens again. Ruled out: ending the earlier attempt before the export (the engine would have dropped the cache, and the caller would wait without tokens meanwhile). Every dispatch ends the attempts before it. Figures: two tests, export answered 200 and 404, both fail before (no call to /v1/kv/export was made). Conclusion: the choice between import and recomputing now has an effect; its gain is still to be measured under load.

--- a/node/src/main/java/org/fuchsiadeck/node/backend/Attempt.java
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/Attempt.java
@@ -32,13 +32,13 @@
 
     private final Exchange exchange;
     private final RequestEffect.Dispatch dispatch;
-    private final Supplier<HttpPacket> request;
-    private final int resumedAt;
+    private final Supplier<Opening> opening;
     private final BackendIo io;
     private volatile Optional<BackendReport> report = Optional.empty();
     private Step step = Step.CONNECTING;
     private boolean ended;
     private boolean completed;
+    private int resumedAt;
     private HttpConnection connection;
     private Reply reply;
 
@@ -47,34 +47,40 @@
      *
      * @param exchange the caller's request
      * @param dispatch the attempt
-     * @param request gives what to write
-     * @param resumedAt tokens delivered before
+     * @param opening gives what to write, once there is a connection
      * @param io what attempts share
      */
-    Attempt(
-            Exchange exchange,
-            RequestEffect.Dispatch dispatch,
-            Supplier<HttpPacket> request,
-            int resumedAt,
-            BackendIo io) {
+    Attempt(Exchange exchange, RequestEffect.Dispatch dispatch, Supplier<Opening> opening, BackendIo io) {
         this.exchange = exchange;
         this.dispatch = dispatch;
-        this.request = request;
-        this.resumedAt = resumedAt;
+        this.opening = opening;
         this.io = io;
     }
 
+    /**
+     * What an attempt begins with.
+     *
+     * @param request the request, whole
+     * @param resumedAt tokens delivered before
+     */
+    record Opening(HttpPacket request, int resumedAt) {}
+
     @Override
     public void connected(HttpConnection opened) {
-        HttpPacket packet;
+        if (isEnded()) {
+            io.release(opened);
+            return;
+        }
+        Opening first;
         try {
-            packet = request.get();
+            first = opening.get();
         } catch (RuntimeException e) {
             fail(Kind.UNREACHABLE, "the request can't be written: " + e);
             opened.close();
             return;
         }
-        write(opened, packet);
+        resumedAt = first.resumedAt();
+        write(opened, first.request());
     }
 
     private void write(HttpConnection opened, HttpPacket packet) {
--- a/node/src/main/java/org/fuchsiadeck/node/backend/BackendClient.java
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/BackendClient.java
@@ -2,6 +2,8 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import com.codahale.metrics.Counter;
@@ -58,24 +60,41 @@
     }
 
     /**
-     * Starts an attempt.
+     * Starts an attempt, which takes the place of all earlier ones of the request. If a KV cache is to be taken over, the
+     * earlier attempt goes on until the cache is exported.
      *
      * @param exchange the caller's request
      * @param dispatch the attempt
      */
     public void dispatch(Exchange exchange, RequestEffect.Dispatch dispatch) {
-        Configuration config = configuration.get();
-        CallerRequest call = exchange.call();
-        Journal journal = exchange.journal();
-        Route route = config.route(call.method(), call.path()).orElse(null);
-        Supplier<HttpPacket> request = () -> RequestWriter.write(exchange, dispatch, route, journal);
-        Attempt attempt = new Attempt(exchange, dispatch, request, journal.tokens(), io);
+        AtomicReference<Optional<CacheHandle>> cache = new AtomicReference<>(Optional.empty());
+        Attempt attempt = new Attempt(exchange, dispatch, () -> opening(exchange, dispatch, cache.get()), io);
         if (!exchange.open(dispatch.attempt(), attempt)) {
             return;
         }
         attempts.inc();
+        Consumer<Optional<CacheHandle>> go = handle -> {
+            cache.set(handle);
+            exchange.endEarlier(dispatch.attempt());
+            begin(attempt, dispatch);
+        };
+        dispatch.importFrom()
+                .ifPresentOrElse(
+                        from -> CacheHandle.export(client, from.address(), dispatch.id(), go),
+                        () -> go.accept(Optional.empty()));
+    }
+
+    private Attempt.Opening opening(Exchange exchange, RequestEffect.Dispatch dispatch, Optional<CacheHandle> cache) {
+        CallerRequest call = exchange.call();
+        Route route = configuration.get().route(call.method(), call.path()).orElse(null);
+        Journal journal = exchange.journal();
+        HttpPacket request = RequestWriter.write(exchange, dispatch, route, new RequestWriter.Past(journal, cache));
+        return new Attempt.Opening(request, journal.tokens());
+    }
+
+    private void begin(Attempt attempt, RequestEffect.Dispatch dispatch) {
         try {
-            connect(attempt, dispatch, config.defaults().connectionMaxAgeMs());
+            connect(attempt, dispatch, configuration.get().defaults().connectionMaxAgeMs());
         } catch (RuntimeException e) {
             attempt.failed(e.toString());
         }
--- a/node/src/main/java/org/fuchsiadeck/node/backend/RequestWriter.java
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/RequestWriter.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.Optional;
 
 import com.fasterxml.jackson.core.json.JsonWriteFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -37,14 +38,14 @@
      * @param exchange the caller's request
      * @param dispatch the attempt
      * @param route the request's route; null if the configuration no longer has it
-     * @param journal the tokens delivered before
+     * @param past what came before the attempt
      * @return the request, whole
      */
-    static HttpPacket write(Exchange exchange, RequestEffect.Dispatch dispatch, Route route, Journal journal) {
+    static HttpPacket write(Exchange exchange, RequestEffect.Dispatch dispatch, Route route, Past past) {
         CallerRequest call = exchange.call();
         CallerBody body = exchange.body();
         boolean engine = dispatch.backend().kind() == Backend.Kind.ENGINE;
-        byte[] bytes = journal.tokens() > 0 ? resumed(body.bytes(), journal) : body.bytes();
+        byte[] bytes = past.isEmpty() ? body.bytes() : resumed(body.bytes(), past);
         HttpRequestPacket.Builder head = HttpRequestPacket.builder()
                 .method(call.method())
                 .uri(engine ? COMPLETIONS : body.uri())
@@ -67,13 +68,30 @@
                 .build();
     }
 
-    private static byte[] resumed(byte[] body, Journal journal) {
+    private static byte[] resumed(byte[] body, Past past) {
         try {
             ObjectNode json = (ObjectNode) JSON.readTree(body);
+            Journal journal = past.journal();
             json.putObject("resume").put("text", journal.text()).put("tokens", journal.tokens());
+            past.cache()
+                    .ifPresent(c -> json.putObject("import")
+                            .put("from", c.engine().toString())
+                            .put("handle", c.handle()));
             return JSON.writeValueAsBytes(json);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
     }
+
+    /**
+     * What came before an attempt.
+     *
+     * @param journal the tokens delivered
+     * @param cache the KV cache to take over
+     */
+    record Past(Journal journal, Optional<CacheHandle> cache) {
+        boolean isEmpty() {
+            return journal.tokens() == 0 && cache.isEmpty();
+        }
+    }
 }
--- a/node/src/main/java/org/fuchsiadeck/node/client/PlainCall.java
+++ b/node/src/main/java/org/fuchsiadeck/node/client/PlainCall.java
@@ -14,11 +14,12 @@
 import org.glassfish.grizzly.http.Protocol;
 
 /**
- * One plain {@code GET} over a connection of its own.
+ * One plain {@code GET}, or {@code POST} without a body, over a connection of its own.
  */
 public final class PlainCall implements ConnectHandler, AnswerListener {
     private static final int OK = 200;
 
+    private final String method;
     private final Address address;
     private final String uri;
     private final int maxBytes;
@@ -29,7 +30,9 @@
     private volatile CallFailure.Step step = CallFailure.Step.CONNECTING;
     private boolean ended;
 
-    private PlainCall(Address address, String uri, int maxBytes, Consumer<Either<CallFailure, byte[]>> result) {
+    private PlainCall(
+            String method, Address address, String uri, int maxBytes, Consumer<Either<CallFailure, byte[]>> result) {
+        this.method = method;
         this.address = address;
         this.uri = uri;
         this.maxBytes = maxBytes;
@@ -37,7 +40,7 @@
     }
 
     /**
-     * Starts a call.
+     * Starts a {@code GET}.
      *
      * @param client makes the connection
      * @param address the server
@@ -52,8 +55,30 @@
             String uri,
             int maxBytes,
             Consumer<Either<CallFailure, byte[]>> result) {
-        PlainCall call = new PlainCall(address, uri, maxBytes, result);
-        client.connect(address, call);
+        return start(client, new PlainCall("GET", address, uri, maxBytes, result));
+    }
+
+    /**
+     * Starts a {@code POST} without a body.
+     *
+     * @param client makes the connection
+     * @param address the server
+     * @param uri the path and query
+     * @param maxBytes the longest answer, in bytes
+     * @param result takes the body of an answer with status 200, or what was seen instead; called once
+     * @return the call
+     */
+    public static PlainCall post(
+            HttpClient client,
+            Address address,
+            String uri,
+            int maxBytes,
+            Consumer<Either<CallFailure, byte[]>> result) {
+        return start(client, new PlainCall("POST", address, uri, maxBytes, result));
+    }
+
+    private static PlainCall start(HttpClient client, PlainCall call) {
+        client.connect(call.address, call);
         return call;
     }
 
@@ -85,14 +110,16 @@
             }
         }
         step = CallFailure.Step.AWAITING;
-        HttpRequestPacket head = HttpRequestPacket.builder()
-                .method("GET")
+        HttpRequestPacket.Builder head = HttpRequestPacket.builder()
+                .method(method)
                 .uri(uri)
                 .protocol(Protocol.HTTP_1_1)
                 .header("Host", address.toString())
-                .header("Connection", "close")
-                .build();
-        HttpPacket request = HttpContent.builder(head).last(true).build();
+                .header("Connection", "close");
+        if (method.equals("POST")) {
+            head.contentLength(0);
+        }
+        HttpPacket request = HttpContent.builder(head.build()).last(true).build();
         opened.send(request, this);
     }
 
--- a/node/src/main/java/org/fuchsiadeck/node/exchange/Exchange.java
+++ b/node/src/main/java/org/fuchsiadeck/node/exchange/Exchange.java
@@ -1,6 +1,7 @@
 package org.fuchsiadeck.node.exchange;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
@@ -113,6 +114,22 @@
         return inbox == null ? null : inbox.control;
     }
 
+    /**
+     * Ends all attempts before one, because it takes their place.
+     *
+     * @param attempt the attempt
+     */
+    public void endEarlier(int attempt) {
+        List<AttemptControl> earlier;
+        synchronized (this) {
+            earlier = inboxes.values().stream()
+                    .filter(i -> i.attempt < attempt)
+                    .map(i -> i.control)
+                    .toList();
+        }
+        earlier.forEach(c -> c.fail(Failure.Kind.CLOSED, "replaced by attempt " + attempt));
+    }
+
     /**
      * Takes a token of an attempt: passes it on, or holds it until the attempt is chosen.
      *
--- a/node/src/test/java/org/fuchsiadeck/node/backend/AttemptTest.java
+++ b/node/src/test/java/org/fuchsiadeck/node/backend/AttemptTest.java
@@ -35,6 +35,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -201,7 +202,12 @@
             Dispatch dispatch = new Dispatch(exchange.id(), 1, server.as(Backend.Kind.APPLICATION), 0, 1_000);
             BackendIo io = new BackendIo(events::add, log -> {}, metrics, MAX_ANSWER_BYTES);
             Attempt attempt = new Attempt(
-                    exchange, dispatch, () -> RequestWriter.write(exchange, dispatch, null, exchange.journal()), 0, io);
+                    exchange,
+                    dispatch,
+                    () -> {
+                        throw new AssertionError("a cancelled attempt has nothing to write");
+                    },
+                    io);
             exchange.open(1, attempt);
             backends.cancel(exchange, 1);
             client.connect(server.address(), attempt);
@@ -295,6 +301,40 @@
         }
     }
 
+    @ParameterizedTest
+    @CsvSource({"200, true", "404, false"})
+    void takesTheCacheOfTheEarlierEngineOver(int status, boolean exported) throws Exception {
+        FakeServer.Script generate = tokens(0, 1);
+        FakeServer.Script leaving = (m, s) -> {
+            if (m.start().startsWith("POST /v1/kv/export/r1 ")) {
+                FakeServer.plain(m, s, status, "{\"handle\":\"h7\",\"tokens\":2}");
+            } else {
+                generate.serve(m, s);
+            }
+        };
+        try (FakeServer first = new FakeServer(leaving);
+                FakeServer second = new FakeServer(tokens(2).then((m, s) -> FakeServer.done(s, 3)))) {
+            Exchange exchange = exchange("r1", true);
+            dispatch(exchange, 1, first, 0);
+            await(AnswerStarted.class);
+            exchange.relay(1);
+            Await.until("two tokens are passed on", () -> exchange.journal().tokens() == 2);
+            events.clear();
+            Backend from = first.as(Backend.Kind.ENGINE);
+            Backend to = second.as(Backend.Kind.ENGINE);
+            backends.dispatch(exchange, new Dispatch(exchange.id(), 2, to, 0, 1_000, Optional.of(from)));
+            await(AnswerCompleted.class);
+            assertThat(all(AttemptFailed.class)).singleElement().matches(f -> f.attempt() == 1);
+            String sent = second.received.get(0).text();
+            assertThat(sent).contains("\"resume\":{\"text\":\"t0\\u00E9 t1\\u00E9 \",\"tokens\":2}");
+            assertThat(sent.contains("\"import\":{\"from\":\"" + first.address() + "\",\"handle\":\"h7\"}"))
+                    .isEqualTo(exported);
+            exchange.relay(2);
+            exchange.endStream();
+            assertThat(caller.text()).startsWith(event(0) + event(1) + event(2));
+        }
+    }
+
     @Test
     void passesOnNothingOfAnAttemptBeforeItIsChosenNorAfterItIsCancelled() throws Exception {
         try (FakeServer server = new FakeServer(tokens(0, 1))) {
