Draw random numbers and rank candidates in one place

Cause: three copies of SplitMix64 and three ways of rendezvous hashing stood in membership, configuration and claims. Change: core.model.SplitMix64 and core.model.Rendezvous serve them; a score is computed once for each candidate.

--- a/core/src/main/java/org/fuchsiadeck/core/claim/RosterKeeper.java
+++ b/core/src/main/java/org/fuchsiadeck/core/claim/RosterKeeper.java
@@ -11,8 +11,8 @@
 import org.fuchsiadeck.core.Effect;
 import org.fuchsiadeck.core.EventCode;
 import org.fuchsiadeck.core.claim.Upkeep.Calls;
-import org.fuchsiadeck.core.membership.SplitMix64;
 import org.fuchsiadeck.core.model.NodeId;
+import org.fuchsiadeck.core.model.SplitMix64;
 import org.fuchsiadeck.core.platform.PlatformEffect;
 import org.fuchsiadeck.core.platform.PlatformEvent;
 
--- a/core/src/main/java/org/fuchsiadeck/core/config/ConfigReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/ConfigReducer.java
@@ -10,6 +10,8 @@
 import org.fuchsiadeck.core.Reducer;
 import org.fuchsiadeck.core.Step;
 import org.fuchsiadeck.core.View;
+import org.fuchsiadeck.core.model.Rendezvous;
+import org.fuchsiadeck.core.model.SplitMix64;
 import org.fuchsiadeck.core.platform.PlatformEvent;
 
 /**
@@ -65,7 +67,7 @@
     private static Step<ConfigState> started(Draft draft) {
         long now = draft.nowMs();
         long seed = draft.view.self().seed()
-                ^ SplitMix64.hash(draft.view.self().id().value());
+                ^ Rendezvous.hash(draft.view.self().id().value());
         draft.random(new SplitMix64(seed));
         draft.startup(
                 new ConfigState.Startup(false, now, false, 0, Map.of(), now),
--- a/core/src/main/java/org/fuchsiadeck/core/config/ConfigState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/ConfigState.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 
 import org.fuchsiadeck.core.model.NodeId;
+import org.fuchsiadeck.core.model.SplitMix64;
 
 import static java.util.Objects.requireNonNull;
 
--- a/core/src/main/java/org/fuchsiadeck/core/config/Draft.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/Draft.java
@@ -12,6 +12,7 @@
 import org.fuchsiadeck.core.View;
 import org.fuchsiadeck.core.model.NodeId;
 import org.fuchsiadeck.core.model.Peers;
+import org.fuchsiadeck.core.model.SplitMix64;
 
 /**
  * A working copy of the state while one event is reduced, with the effects gathered so far.
--- a/core/src/main/java/org/fuchsiadeck/core/config/Watchers.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/Watchers.java
@@ -3,6 +3,7 @@
 import org.fuchsiadeck.core.Identity;
 import org.fuchsiadeck.core.model.NodeId;
 import org.fuchsiadeck.core.model.Peers;
+import org.fuchsiadeck.core.model.Rendezvous;
 
 /**
  * Chooses the few nodes of a zone that watch the platform's service, by rendezvous hashing over the nodes alive.
@@ -30,6 +31,6 @@
     }
 
     private static long score(NodeId id) {
-        return SplitMix64.hash(id.value());
+        return Rendezvous.score("config/watchers", id.value());
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/membership/MembershipReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/membership/MembershipReducer.java
@@ -13,6 +13,7 @@
 import org.fuchsiadeck.core.View;
 import org.fuchsiadeck.core.membership.Member.Status;
 import org.fuchsiadeck.core.model.Peers;
+import org.fuchsiadeck.core.model.SplitMix64;
 import org.fuchsiadeck.core.platform.PlatformEvent;
 
 /**
--- a/core/src/main/java/org/fuchsiadeck/core/membership/MembershipState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/membership/MembershipState.java
@@ -7,6 +7,7 @@
 import org.fuchsiadeck.core.model.Address;
 import org.fuchsiadeck.core.model.NodeId;
 import org.fuchsiadeck.core.model.Peers;
+import org.fuchsiadeck.core.model.SplitMix64;
 
 import static java.util.Objects.requireNonNull;
 
--- a/core/src/main/java/org/fuchsiadeck/core/membership/Rounds.java
+++ b/core/src/main/java/org/fuchsiadeck/core/membership/Rounds.java
@@ -11,9 +11,9 @@
 import org.fuchsiadeck.core.membership.Member.Status;
 import org.fuchsiadeck.core.membership.MembershipMessage.PingRequest;
 import org.fuchsiadeck.core.membership.Probing.Probe;
-import org.fuchsiadeck.core.membership.SplitMix64.Drawn;
 import org.fuchsiadeck.core.model.Address;
 import org.fuchsiadeck.core.model.NodeId;
+import org.fuchsiadeck.core.model.SplitMix64.Drawn;
 
 /**
  * The rounds of probing: in each one node is probed, and what has timed out is dealt with. A node sends a bounded number
--- a/core/src/main/java/org/fuchsiadeck/core/model/Rendezvous.java
+++ b/core/src/main/java/org/fuchsiadeck/core/model/Rendezvous.java
@@ -13,8 +13,13 @@
     private static final long FNV_OFFSET = 0xcbf29ce484222325L;
     private static final long FNV_PRIME = 0x100000001b3L;
 
+    private static final Comparator<Ranked<?>> ORDER =
+            Comparator.<Ranked<?>>comparingLong(Ranked::score).reversed().thenComparing(Ranked::name);
+
     private Rendezvous() {}
 
+    private record Ranked<T>(T candidate, String name, long score) {}
+
     /**
      * Ranks candidates for a key.
      *
@@ -25,9 +30,10 @@
      * @return the candidates, the first choice first
      */
     public static <T> List<T> rank(String key, Collection<T> candidates, Function<? super T, String> name) {
-        Comparator<T> byScore = Comparator.comparingLong(c -> score(key, name.apply(c)));
         return candidates.stream()
-                .sorted(byScore.reversed().thenComparing(name))
+                .map(c -> new Ranked<T>(c, name.apply(c), score(key, name.apply(c))))
+                .sorted(ORDER)
+                .map(Ranked::candidate)
                 .toList();
     }
 
@@ -39,7 +45,7 @@
      * @return the score; the greatest wins
      */
     public static long score(String key, String name) {
-        return mix(hash(key) ^ Long.rotateLeft(hash(name), 32));
+        return SplitMix64.mix(hash(key) ^ Long.rotateLeft(hash(name), 32));
     }
 
     /**
@@ -55,10 +61,4 @@
         }
         return h;
     }
-
-    private static long mix(long x) {
-        long h = (x ^ (x >>> 30)) * 0xbf58476d1ce4e5b9L;
-        h = (h ^ (h >>> 27)) * 0x94d049bb133111ebL;
-        return h ^ (h >>> 31);
-    }
 }
