--- a/cli/src/main/java/org/fuchsiadeck/cli/load/Entries.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/load/Entries.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 import org.fuchsiadeck.core.model.Address;
+import org.fuchsiadeck.node.platform.HttpAnswer;
 import org.fuchsiadeck.node.platform.HttpCall;
 import org.fuchsiadeck.node.platform.HttpCalls;
 
@@ -23,14 +24,14 @@
 
     private final List<Entry> entries;
     private final HttpCalls calls;
-    private final Map<Entry, Boolean> unready = new ConcurrentHashMap<>();
+    private final Map<Entry, String> unready = new ConcurrentHashMap<>();
     private final AtomicInteger turn = new AtomicInteger();
     private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
 
     Entries(List<Entry> entries, HttpCalls calls) {
         this.entries = List.copyOf(entries);
         this.calls = calls;
-        this.entries.forEach(e -> unready.put(e, true));
+        this.entries.forEach(e -> unready.put(e, "not asked yet"));
         timer.scheduleAtFixedRate(this::poll, 0, POLL_MS, TimeUnit.MILLISECONDS);
     }
 
@@ -49,14 +50,14 @@
     /**
      * Waits until all nodes are ready.
      *
-     * @return whether they are within a minute
+     * @return why nodes are not ready after a minute; empty if all are
      */
-    boolean awaitReady() throws InterruptedException {
+    Map<Entry, String> awaitReady() throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_LIMIT_MS);
         while (!unready.isEmpty() && System.nanoTime() < end) {
             Thread.sleep(POLL_MS);
         }
-        return unready.isEmpty();
+        return Map.copyOf(unready);
     }
 
     @Override
@@ -67,15 +68,19 @@
     private void poll() {
         for (Entry entry : entries) {
             HttpCall ready = new HttpCall(entry.operators(), "GET", "/ready", Map.of(), "", POLL_TIMEOUT_MS);
-            calls.call(ready).thenAccept(a -> mark(entry, a.fold(f -> false, answer -> answer.status() == OK)));
+            calls.call(ready).thenAccept(a -> mark(entry, a.fold(String::valueOf, Entries::reason)));
         }
     }
 
-    private void mark(Entry entry, boolean ready) {
-        if (ready) {
+    private static String reason(HttpAnswer answer) {
+        return answer.status() == OK ? "" : answer.body();
+    }
+
+    private void mark(Entry entry, String reason) {
+        if (reason.isEmpty()) {
             unready.remove(entry);
         } else {
-            unready.put(entry, true);
+            unready.put(entry, reason);
         }
     }
 
--- a/cli/src/main/java/org/fuchsiadeck/cli/load/LoadCommand.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/load/LoadCommand.java
@@ -95,8 +95,9 @@
         StandIns standIns = standIns(calls);
         List<Entries.Entry> listed = entryList();
         Entries entries = closer.add(new Entries(listed, calls));
-        if (!entries.awaitReady()) {
-            return console.error(ExitCode.FAILED, "the nodes are not ready");
+        Map<Entries.Entry, String> unready = entries.awaitReady();
+        if (!unready.isEmpty()) {
+            return console.error(ExitCode.FAILED, "nodes are not ready: " + unready);
         }
         CallerClient client = closer.add(new CallerClient());
         if (relay) {
