Make the platform's calls over the one HTTP client

Cause: two Grizzly clients stood side by side, one for backend servers and one for the platform's service. Conclusion: one place to mend when a connection misbehaves.

--- a/node/src/main/java/org/fuchsiadeck/node/platform/PendingCall.java
+++ b/node/src/main/java/org/fuchsiadeck/node/platform/PendingCall.java
@@ -8,8 +8,10 @@
 
 import io.vavr.control.Either;
 import io.vavr.control.Try;
+import org.fuchsiadeck.node.client.AnswerListener;
+import org.fuchsiadeck.node.client.ConnectHandler;
+import org.fuchsiadeck.node.client.HttpConnection;
 import org.glassfish.grizzly.Buffer;
-import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
@@ -22,7 +24,7 @@
  * A call between its start and its answer, failure or timeout. Whichever comes first counts; the connection is closed
  * after it.
  */
-final class PendingCall {
+final class PendingCall implements ConnectHandler, AnswerListener {
     private static final int MAX_ANSWER_BYTES = 32 << 20;
     private static final int MS_PER_SECOND = 1_000;
 
@@ -30,7 +32,8 @@
     private final CompletableFuture<Either<HttpFailure, HttpAnswer>> result = new CompletableFuture<>();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private volatile HttpFailure.Step step = HttpFailure.Step.CONNECT;
-    private volatile Connection<?> connection;
+    private volatile HttpConnection connection;
+    private HttpResponsePacket head;
 
     PendingCall(HttpCall call) {
         this.call = call;
@@ -42,22 +45,55 @@
         return result.minimalCompletionStage();
     }
 
-    /** Takes the open connection. Returns whether the request is still wanted. */
-    boolean begin(Connection<?> c) {
-        connection = c;
+    @Override
+    public void connected(HttpConnection opened) {
+        connection = opened;
         if (result.isDone()) {
-            c.closeSilently();
-            return false;
+            opened.close();
+            return;
         }
         step = HttpFailure.Step.WRITE;
-        return true;
+        opened.send(request(), this);
+    }
+
+    @Override
+    public void failed(String detail) {
+        fail(detail);
     }
 
-    void written() {
+    @Override
+    public void onHead(HttpResponsePacket packet) {
         step = HttpFailure.Step.READ;
+        head = packet;
+    }
+
+    @Override
+    public void onBody(Buffer part) {
+        byte[] bytes = new byte[part.remaining()];
+        part.get(bytes);
+        if (body.size() + bytes.length > MAX_ANSWER_BYTES) {
+            fail("the answer is larger than " + MAX_ANSWER_BYTES + " bytes");
+            return;
+        }
+        body.writeBytes(bytes);
+    }
+
+    @Override
+    public void onEnd() {
+        complete(Either.right(new HttpAnswer(head.getStatus(), body.toString(UTF_8), retryAfterMs(head))));
     }
 
-    HttpContent request() {
+    @Override
+    public void onBroken(String detail) {
+        fail(detail);
+    }
+
+    @Override
+    public void onLost(String detail) {
+        fail(detail);
+    }
+
+    private HttpContent request() {
         byte[] bytes = call.body().getBytes(UTF_8);
         HttpRequestPacket.Builder request = HttpRequestPacket.builder()
                 .method(call.method())
@@ -76,32 +112,16 @@
                 .build();
     }
 
-    /** Takes a part of the answer. */
-    void read(HttpContent content) {
-        Buffer buffer = content.getContent();
-        byte[] bytes = new byte[buffer.remaining()];
-        buffer.get(bytes);
-        if (body.size() + bytes.length > MAX_ANSWER_BYTES) {
-            fail("the answer is larger than " + MAX_ANSWER_BYTES + " bytes");
-            return;
-        }
-        body.writeBytes(bytes);
-        if (content.isLast()) {
-            HttpResponsePacket head = (HttpResponsePacket) content.getHttpHeader();
-            complete(Either.right(new HttpAnswer(head.getStatus(), body.toString(UTF_8), retryAfterMs(head))));
-        }
-    }
-
-    void fail(String detail) {
+    private void fail(String detail) {
         boolean sent = step != HttpFailure.Step.CONNECT;
         complete(Either.left(new HttpFailure(step, call.to(), detail, sent)));
     }
 
     private void complete(Either<HttpFailure, HttpAnswer> outcome) {
         result.complete(outcome);
-        Connection<?> c = connection;
+        HttpConnection c = connection;
         if (c != null) {
-            c.closeSilently();
+            c.close();
         }
     }
 
