--- a/core/src/main/java/org/fuchsiadeck/core/claim/Roster.java
+++ b/core/src/main/java/org/fuchsiadeck/core/claim/Roster.java
@@ -1,15 +1,14 @@
 package org.fuchsiadeck.core.claim;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 
 import io.vavr.collection.Set;
 import io.vavr.collection.TreeMap;
 import io.vavr.collection.Vector;
-import org.fuchsiadeck.core.membership.SplitMix64;
 import org.fuchsiadeck.core.model.NodeId;
 import org.fuchsiadeck.core.model.Peers.Peer;
+import org.fuchsiadeck.core.model.Rendezvous;
 import org.fuchsiadeck.core.model.Zone;
 
 import static java.util.Objects.requireNonNull;
@@ -23,18 +22,13 @@
  */
 public record Roster(long basedOn, TreeMap<NodeId, Peer> members) {
     private static final int OWNERS = 3;
-    private static final long FNV_OFFSET = 0xCBF29CE484222325L;
-    private static final long FNV_PRIME = 0x100000001B3L;
 
     public Roster {
         requireNonNull(members, "members");
     }
 
     Vector<NodeId> owners(String key) {
-        long hash = hash(key);
-        List<Peer> ranked = new ArrayList<>(members.values().asJava());
-        ranked.sort(Comparator.<Peer>comparingLong(p -> SplitMix64.mix(hash ^ SplitMix64.mix(hash(p.id().value()))))
-                .thenComparing(Peer::id));
+        List<Peer> ranked = Rendezvous.rank(key, members.values().asJava(), p -> p.id().value());
         List<Peer> chosen = new ArrayList<>();
         for (Peer peer : ranked) {
             if (chosen.size() < OWNERS
@@ -50,14 +44,6 @@
         return Vector.ofAll(chosen).map(Peer::id);
     }
 
-    private static long hash(String text) {
-        long hash = FNV_OFFSET;
-        for (int i = 0; i < text.length(); i++) {
-            hash = (hash ^ text.charAt(i)) * FNV_PRIME;
-        }
-        return hash;
-    }
-
     static int majority(int count) {
         return count / 2 + 1;
     }
--- a/scenarios/src/test/java/org/fuchsiadeck/scenarios/Deployment.java
+++ b/scenarios/src/test/java/org/fuchsiadeck/scenarios/Deployment.java
@@ -11,10 +11,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.stream.Collectors;
 
 import org.fuchsiadeck.core.model.Address;
+import org.fuchsiadeck.core.rollout.BookText;
+import org.fuchsiadeck.core.rollout.RolloutBook;
+import org.fuchsiadeck.core.rollout.RolloutReducer;
 import org.fuchsiadeck.node.config.Accepted;
 import org.fuchsiadeck.node.config.ConfigStore;
 import org.fuchsiadeck.node.config.Outcome;
@@ -158,6 +163,15 @@
         }
     }
 
+    /** Writes the book of rollouts over whatever is there. */
+    void putBook(RolloutBook book) {
+        Address kv = Address.parse(testbed.address("kv"));
+        try (KeyValueStore store = HttpKeyValueStore.open(kv, CALL_TIMEOUT_MS)) {
+            KeyValueStore.await(
+                    store.put(RolloutReducer.BOOK_KEY, BookText.write(book), OptionalLong.empty(), Optional.empty()));
+        }
+    }
+
     /** Sets the faults of the proxies before every backend server of a service. */
     void serviceFaults(String service, ProxyFaults faults) {
         backends(service).forEach(id -> proxyFaults(id, faults));
