Report the tokens of an attempt before its end

Cause: progress of a stream is reported in batches of 64 tokens or 100 ms. An attempt that was cut sooner reported none, so that the decisions counted its failure as one without progress: after max_attempts short attempts in a row a stream ended with an error though each had passed tokens on. Change: an exchange reports what it passed on before it forgets an attempt, and so before AttemptFailed. After: AttemptTest 35 green. Conclusion: a stream goes on as long as each few attempts add a token.

--- a/node/src/main/java/org/fuchsiadeck/node/exchange/Exchange.java
+++ b/node/src/main/java/org/fuchsiadeck/node/exchange/Exchange.java
@@ -220,13 +220,17 @@
     }
 
     /**
-     * Forgets an attempt, so that nothing it sends reaches the caller.
+     * Forgets an attempt, so that nothing it sends reaches the caller. Reports first what it passed on: a retry is
+     * judged by it.
      *
      * @param attempt the attempt
      */
     public synchronized void forget(int attempt) {
         Inbox inbox = inboxes.remove(attempt);
         if (inbox != null && inbox == relayed) {
+            if (delivered > reported) {
+                report(System.nanoTime());
+            }
             relayed = null;
         }
     }
--- a/node/src/test/java/org/fuchsiadeck/node/backend/AttemptTest.java
+++ b/node/src/test/java/org/fuchsiadeck/node/backend/AttemptTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.stream.Stream;
 
 import com.codahale.metrics.MetricRegistry;
@@ -348,6 +349,29 @@
         }
     }
 
+    @Test
+    void reportsAllTokensPassedOnBeforeTheEndOfTheAttempt() throws Exception {
+        CountDownLatch passedOn = new CountDownLatch(1);
+        FakeServer.Script cut = (m, s) -> {
+            await(passedOn);
+            s.close();
+        };
+        try (FakeServer server = new FakeServer(tokens(0, 1, 2).then(cut))) {
+            Exchange exchange = exchange("r1", true);
+            dispatch(exchange, 1, server, 0);
+            await(AnswerStarted.class);
+            exchange.relay(1);
+            Await.until("three tokens are passed on", () -> exchange.journal().tokens() == 3);
+            passedOn.countDown();
+            await(AttemptFailed.class);
+            List<Event> ends = events.stream()
+                    .filter(e -> e instanceof RequestEvent.Progressed || e instanceof AttemptFailed)
+                    .toList();
+            assertThat(ends).hasSizeGreaterThan(1);
+            assertThat(ends.get(ends.size() - 2)).isEqualTo(new RequestEvent.Progressed(exchange.id(), 1, 3));
+        }
+    }
+
     @Test
     void stopsReadingWhileTheCallerIsFull() throws Exception {
         int[] many = java.util.stream.IntStream.range(0, 20_000).toArray();
@@ -387,6 +411,14 @@
         backends.dispatch(exchange, new Dispatch(exchange.id(), attempt, backend, freshMs, 1_000));
     }
 
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private <E extends Event> E await(Class<E> type) throws Exception {
         Await.until(type.getSimpleName(), () -> !all(type).isEmpty());
         return all(type).get(0);
