End with exit code 0 after a graceful shutdown by a signal

Cause: a process of Java that ends by SIGTERM has exit code 143 unless its shutdown hook halts it, so that a planned stop looked like a crash to whoever supervises the process. Ruled out: a drain that was not over (the log had NODE_STOPPED, all answers were whole). Change: the hook halts with 0 once all is closed and the last log line is written; otherwise the code stays 143. Before: planned_stop.feature "Of an entry node with notices and entries open": expected 0 but was 143. Conclusion: 0 says that the shutdown was graceful, 143 that it was not.

--- a/node/src/main/java/org/fuchsiadeck/node/NodeDaemon.java
+++ b/node/src/main/java/org/fuchsiadeck/node/NodeDaemon.java
@@ -82,11 +82,16 @@
         return EXIT_STOPPED;
     }
 
-    /** Holds the process until all is closed and the last log line is written. */
+    /**
+     * Holds the process until all is closed and the last log line is written, and ends it as stopped. The exit code
+     * would be that of the signal otherwise, and a supervisor would take a graceful shutdown for a crash.
+     */
     private static void drain(Node node, long noticeMs, CountDownLatch ended) {
         node.requestStop(noticeMs);
         try {
-            ended.await(noticeMs + CLOSE_WAIT_MS, TimeUnit.MILLISECONDS);
+            if (ended.await(noticeMs + CLOSE_WAIT_MS, TimeUnit.MILLISECONDS)) {
+                Runtime.getRuntime().halt(EXIT_STOPPED);
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
