Take every policy value of the request path from the exceptions in force

Cause: the request path and the kept connections read the defaults only. An exception was accepted, shown by `config explain`, and changed nothing.

`weight` divides a server's load in the router's score, relative to the default weight. Idle connections are closed by the age of their own server.

Ruled out: a memo within the reducer, which several simulated nodes with different configurations would share, and resolving at each lookup, whose cost grows with the number of exceptions. `backend_concurrency` by route was ruled out: a server's requests in progress are counted over all routes, and requests that wait have to be blocked alike.

Conclusion: exceptions are in force on the request path. Not yet: claim_lifetime_ms and the early share of rollouts, which are read elsewhere.

--- a/core/src/main/java/org/fuchsiadeck/core/config/Subject.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/Subject.java
@@ -1,6 +1,7 @@
 package org.fuchsiadeck.core.config;
 
 import java.util.List;
+import java.util.Set;
 
 import org.fuchsiadeck.core.model.Backend;
 import org.fuchsiadeck.core.model.TeamId;
@@ -79,6 +80,35 @@
         return new Subject(zone, service, version, backend, route, id.value());
     }
 
+    /**
+     * Returns the same subject at a version of its service.
+     *
+     * @param name the version
+     * @return the subject
+     */
+    public Subject atVersion(String name) {
+        return new Subject(zone, service, name, backend, route, team);
+    }
+
+    /**
+     * Returns the subject of which only some components are known.
+     *
+     * @param keys the names of the components to keep, of {@link #KEYS}
+     * @return the subject
+     */
+    Subject only(Set<String> keys) {
+        if (keys.isEmpty()) {
+            return NONE;
+        }
+        return new Subject(
+                keys.contains("zone") ? zone : "",
+                keys.contains("service") ? service : "",
+                keys.contains("version") ? version : "",
+                keys.contains("backend") ? backend : "",
+                keys.contains("route") ? route : "",
+                keys.contains("team") ? team : "");
+    }
+
     /**
      * Returns a component by its name.
      *
--- a/core/src/main/java/org/fuchsiadeck/core/request/Answers.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Answers.java
@@ -1,6 +1,7 @@
 package org.fuchsiadeck.core.request;
 
 import org.fuchsiadeck.core.EventCode;
+import org.fuchsiadeck.core.model.Backend;
 import org.fuchsiadeck.core.model.RequestId;
 
 /**
@@ -39,7 +40,7 @@
             turn.keep(exchange.at(Stage.CANCELLING, attempt.answered(turn.nowMs(), attempt.dueMs())));
             return;
         }
-        long due = exchange.tokenStream() ? turn.nowMs() + turn.policy().chunkTimeoutMs() : exchange.deadlineMs();
+        long due = exchange.tokenStream() ? chunkDueMs(turn, exchange) : exchange.deadlineMs();
         Exchange next = exchange.at(Stage.STREAMING, attempt.answered(turn.nowMs(), due));
         if (exchange.call().stream()) {
             turn.effect(new RequestEffect.Relay(event.id(), event.attempt()));
@@ -52,7 +53,7 @@
         if (!current(exchange, event.attempt()) || exchange.stage() != Stage.STREAMING) {
             return;
         }
-        long due = turn.nowMs() + turn.policy().chunkTimeoutMs();
+        long due = chunkDueMs(turn, exchange);
         Attempt attempt = exchange.attempt().get().progressed(event.delivered(), turn.nowMs(), due);
         turn.keep(exchange.at(Stage.STREAMING, attempt).with(exchange.history().progressed(event.delivered())));
     }
@@ -88,6 +89,11 @@
         turn.log(EventCode.STALE_ANSWER, id + " attempt " + attempt);
     }
 
+    private static long chunkDueMs(Turn turn, Exchange exchange) {
+        Backend backend = exchange.attempt().get().backend();
+        return turn.nowMs() + Policies.of(turn, exchange, backend).chunkTimeoutMs();
+    }
+
     private static Attempt finished(Turn turn, Exchange exchange, RequestEvent.AnswerCompleted event) {
         Attempt attempt = exchange.attempt().get();
         return event.delivered() > 0
--- a/core/src/main/java/org/fuchsiadeck/core/request/Arrivals.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Arrivals.java
@@ -40,7 +40,8 @@
             Ending.refuse(turn, exchange, new Refusal(TOO_LARGE, "body_too_large", 0));
             return;
         }
-        turn.state(turn.state().with(turn.state().budget().fresh(turn.policy().retryBudgetPercent())));
+        int percent = Policies.of(turn, exchange).retryBudgetPercent();
+        turn.state(turn.state().with(turn.state().budget().fresh(percent)));
         take(turn, exchange);
     }
 
@@ -73,7 +74,7 @@
 
     private static void take(Turn turn, Exchange exchange) {
         Found found = Dispatcher.find(turn, exchange);
-        Optional<Refusal> refusal = Dispatcher.refusal(turn, found.availability());
+        Optional<Refusal> refusal = Dispatcher.refusal(turn, exchange, found.availability());
         if (refusal.isPresent()) {
             Ending.refuse(turn, exchange, refusal.get());
             return;
@@ -90,7 +91,7 @@
     }
 
     private static void admit(Turn turn, Exchange exchange, Found found) {
-        Optional<Refusal> refusal = Dispatcher.refusal(turn, found.availability());
+        Optional<Refusal> refusal = Dispatcher.refusal(turn, exchange, found.availability());
         if (refusal.isPresent()) {
             Ending.refuse(turn, exchange, refusal.get());
         } else if (found.choice().isDefined()) {
--- a/core/src/main/java/org/fuchsiadeck/core/request/Attempts.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Attempts.java
@@ -24,7 +24,7 @@
     static void good(Turn turn, Exchange exchange) {
         Attempt attempt = exchange.attempt().get();
         long now = turn.nowMs();
-        int max = turn.policy().backendConcurrency();
+        int max = Policies.of(turn, attempt.backend()).backendConcurrency();
         change(
                 turn,
                 exchange,
@@ -41,7 +41,7 @@
         BackendId id = attempt.backend().id();
         boolean clean = unsuspected(turn, id);
         long now = turn.nowMs();
-        long suspectMs = turn.policy().suspectMs();
+        long suspectMs = Policies.of(turn, attempt.backend()).suspectMs();
         change(turn, exchange, s -> {
             Health health = s.health().failed(evidence, attempt.trial(), now, suspectMs);
             return s.with(limit(s.limit(), failure, now)).with(health);
--- a/core/src/main/java/org/fuchsiadeck/core/request/Departures.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Departures.java
@@ -40,7 +40,8 @@
         if (departure.isEmpty() || !movable(exchange)) {
             return;
         }
-        long endMs = departure.get().byMs() - turn.policy().leavingGraceMs();
+        long graceMs = Policies.of(turn, exchange, attempt.backend()).leavingGraceMs();
+        long endMs = departure.get().byMs() - graceMs;
         if (turn.nowMs() < endMs && turn.nowMs() + remainingMs(turn, exchange) <= endMs) {
             turn.decide(exchange.id(), Decision.Kind.STAYS, Optional.of(attempt.backend()), "fits the notice");
             again(turn, exchange, endMs);
--- a/core/src/main/java/org/fuchsiadeck/core/request/Dispatcher.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Dispatcher.java
@@ -2,7 +2,9 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.ToIntFunction;
 
+import org.fuchsiadeck.core.config.Policy;
 import org.fuchsiadeck.core.limit.ServiceLoad;
 import org.fuchsiadeck.core.model.Backend;
 import org.fuchsiadeck.core.request.RequestEvent.Timer;
@@ -32,17 +34,18 @@
                 prefix(exchange),
                 turn.state().fleet().sent(),
                 seed,
-                turn.state().counters().dispatched());
-        int max = turn.policy().backendConcurrency();
+                turn.state().counters().dispatched(),
+                b -> Policies.weight(turn, exchange, b));
+        ToIntFunction<Backend> max = b -> Policies.of(turn, b).backendConcurrency();
         return new Placement(turn.state().fleet(), turn.view().shares(), turn.router(), max)
                 .find(exchange.wanted(), query);
     }
 
     /** Tells why a fresh request must be refused, if it must. */
-    static Optional<Refusal> refusal(Turn turn, Availability availability) {
+    static Optional<Refusal> refusal(Turn turn, Exchange exchange, Availability availability) {
         return switch (availability) {
             case NONE -> Optional.of(new Refusal("no_backend", turn.spread(MIN_RETRY_AFTER_MS)));
-            case SUSPECTED -> Optional.of(new Refusal("backends_suspected", turn.spread(suspectMs(turn))));
+            case SUSPECTED -> Optional.of(new Refusal("backends_suspected", turn.spread(suspectMs(turn, exchange))));
             default -> Optional.empty();
         };
     }
@@ -56,7 +59,7 @@
         Backend backend = server.backend();
         int number = exchange.history().attempts() + 1;
         long now = turn.nowMs();
-        long due = now + turn.policy().connectTimeoutMs();
+        long due = now + Policies.of(turn, exchange, backend).connectTimeoutMs();
         int tokens = exchange.history().delivered();
         Attempt attempt = Attempt.dispatched(number, server, cause, now, tokens, due);
         turn.keep(exchange.dispatched(attempt));
@@ -80,11 +83,12 @@
             return 0;
         }
         boolean trusting = exchange.idempotent() && exchange.history().failures() == 0;
-        return trusting ? turn.policy().connectionMaxAgeMs() : turn.policy().freshConnectionMs();
+        Policy policy = Policies.of(turn, exchange, server.backend());
+        return trusting ? policy.connectionMaxAgeMs() : policy.freshConnectionMs();
     }
 
-    private static long suspectMs(Turn turn) {
-        return Math.max(MIN_RETRY_AFTER_MS, turn.policy().suspectMs());
+    private static long suspectMs(Turn turn, Exchange exchange) {
+        return Math.max(MIN_RETRY_AFTER_MS, Policies.of(turn, exchange).suspectMs());
     }
 
     private static List<Long> prefix(Exchange exchange) {
--- a/core/src/main/java/org/fuchsiadeck/core/request/Policies.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Policies.java
@@ -2,7 +2,9 @@
 
 import org.fuchsiadeck.core.View;
 import org.fuchsiadeck.core.config.Policy;
+import org.fuchsiadeck.core.config.Subject;
 import org.fuchsiadeck.core.config.Team;
+import org.fuchsiadeck.core.model.Backend;
 import org.fuchsiadeck.core.model.TeamId;
 
 /**
@@ -16,8 +18,34 @@
 
     private Policies() {}
 
-    static Policy of(View view) {
-        return view.config().defaults();
+    /** Returns the values for a request that is at no backend server, or may be at any. */
+    static Policy of(Turn turn, Exchange exchange) {
+        Subject subject = caller(turn, Subject.of(exchange.route()), exchange);
+        return turn.policy(exchange.history().version().map(subject::atVersion).getOrElse(subject));
+    }
+
+    /** Returns the values for a request at a backend server. */
+    static Policy of(Turn turn, Exchange exchange, Backend backend) {
+        Subject server = Subject.of(backend).onRoute(exchange.route().name());
+        return turn.policy(caller(turn, server, exchange));
+    }
+
+    /** Returns the values for a backend server, whatever is sent there. */
+    static Policy of(Turn turn, Backend backend) {
+        return turn.policy(Subject.of(backend));
+    }
+
+    /** Returns how much a backend server counts for requests of a route; 1 is usual. */
+    static double weight(Turn turn, Exchange exchange, Backend backend) {
+        Subject server = Subject.of(backend).onRoute(exchange.route().name());
+        double usual = turn.view().config().defaults().weight();
+        return turn.policy(server).weight() / usual;
+    }
+
+    private static Subject caller(Turn turn, Subject subject, Exchange exchange) {
+        TeamId team = exchange.call().team();
+        boolean known = turn.view().config().teams().stream().anyMatch(t -> t.id().equals(team));
+        return known ? subject.forTeam(team) : subject;
     }
 
     static Team team(View view, TeamId id) {
--- a/core/src/main/java/org/fuchsiadeck/core/request/RequestReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/RequestReducer.java
@@ -103,8 +103,8 @@
                 turn.leaving(backend.id());
             }
         }
-        int max = turn.policy().backendConcurrency();
-        turn.fleet(f -> f.listed(backends, turn.nowMs(), max));
+        turn.fleet(
+                f -> f.listed(backends, turn.nowMs(), b -> Policies.of(turn, b).backendConcurrency()));
         turn.state().queues().keySet().forEach(turn::freed);
     }
 
--- a/core/src/main/java/org/fuchsiadeck/core/request/RequestState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/RequestState.java
@@ -4,6 +4,7 @@
 import io.vavr.collection.Map;
 import io.vavr.collection.Queue;
 import io.vavr.control.Option;
+import org.fuchsiadeck.core.config.PolicyTable;
 import org.fuchsiadeck.core.limit.FairQueue;
 import org.fuchsiadeck.core.limit.RetryBudget;
 import org.fuchsiadeck.core.limit.ServiceLoad;
@@ -26,6 +27,7 @@
  * @param drain the graceful shutdown, if one is under way
  * @param decisions the last decisions, the oldest first
  * @param counters what has been counted
+ * @param policies the policies that were asked for
  */
 public record RequestState(
         Fleet fleet,
@@ -36,12 +38,14 @@
         long draws,
         Option<Drain> drain,
         Queue<Decision> decisions,
-        Counters counters) {
+        Counters counters,
+        PolicyTable policies) {
     public RequestState {
         requireNonNull(fleet, "fleet");
         requireNonNull(budget, "budget");
         requireNonNull(drain, "drain");
         requireNonNull(counters, "counters");
+        requireNonNull(policies, "policies");
     }
 
     /**
@@ -59,7 +63,8 @@
                 0,
                 Option.none(),
                 Queue.empty(),
-                Counters.ZERO);
+                Counters.ZERO,
+                PolicyTable.EMPTY);
     }
 
     /**
@@ -72,40 +77,45 @@
     }
 
     RequestState with(Fleet next) {
-        return new RequestState(next, open, queues, loads, budget, draws, drain, decisions, counters);
+        return new RequestState(next, open, queues, loads, budget, draws, drain, decisions, counters, policies);
     }
 
     RequestState withOpen(Map<RequestId, Exchange> next) {
-        return new RequestState(fleet, next, queues, loads, budget, draws, drain, decisions, counters);
+        return new RequestState(fleet, next, queues, loads, budget, draws, drain, decisions, counters, policies);
     }
 
     RequestState withQueue(String service, FairQueue next) {
         Map<String, FairQueue> all = next.size() == 0 ? queues.remove(service) : queues.put(service, next);
-        return new RequestState(fleet, open, all, loads, budget, draws, drain, decisions, counters);
+        return new RequestState(fleet, open, all, loads, budget, draws, drain, decisions, counters, policies);
     }
 
     RequestState withLoad(String service, ServiceLoad next) {
         return new RequestState(
-                fleet, open, queues, loads.put(service, next), budget, draws, drain, decisions, counters);
+                fleet, open, queues, loads.put(service, next), budget, draws, drain, decisions, counters, policies);
     }
 
     RequestState with(RetryBudget next) {
-        return new RequestState(fleet, open, queues, loads, next, draws, drain, decisions, counters);
+        return new RequestState(fleet, open, queues, loads, next, draws, drain, decisions, counters, policies);
     }
 
     RequestState drawn() {
-        return new RequestState(fleet, open, queues, loads, budget, draws + 1, drain, decisions, counters);
+        return new RequestState(fleet, open, queues, loads, budget, draws + 1, drain, decisions, counters, policies);
     }
 
     RequestState with(Drain next) {
-        return new RequestState(fleet, open, queues, loads, budget, draws, Option.some(next), decisions, counters);
+        return new RequestState(
+                fleet, open, queues, loads, budget, draws, Option.some(next), decisions, counters, policies);
     }
 
     RequestState withDecisions(Queue<Decision> next) {
-        return new RequestState(fleet, open, queues, loads, budget, draws, drain, next, counters);
+        return new RequestState(fleet, open, queues, loads, budget, draws, drain, next, counters, policies);
     }
 
     RequestState with(Counters next) {
-        return new RequestState(fleet, open, queues, loads, budget, draws, drain, decisions, next);
+        return new RequestState(fleet, open, queues, loads, budget, draws, drain, decisions, next, policies);
+    }
+
+    RequestState with(PolicyTable next) {
+        return new RequestState(fleet, open, queues, loads, budget, draws, drain, decisions, counters, next);
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/request/Retries.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Retries.java
@@ -42,7 +42,8 @@
     private static boolean worthwhile(Turn turn, Exchange exchange) {
         History history = exchange.history();
         boolean resumable = !history.begun() || exchange.tokenStream();
-        return resumable && history.failures() < turn.policy().maxAttempts() && turn.nowMs() < exchange.deadlineMs();
+        boolean left = history.failures() < Policies.of(turn, exchange).maxAttempts();
+        return resumable && left && turn.nowMs() < exchange.deadlineMs();
     }
 
     private static void again(Turn turn, Exchange exchange, EndReason why) {
--- a/core/src/main/java/org/fuchsiadeck/core/request/Turn.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Turn.java
@@ -15,6 +15,8 @@
 import org.fuchsiadeck.core.Step;
 import org.fuchsiadeck.core.View;
 import org.fuchsiadeck.core.config.Policy;
+import org.fuchsiadeck.core.config.PolicyTable;
+import org.fuchsiadeck.core.config.Subject;
 import org.fuchsiadeck.core.limit.ServiceLoad;
 import org.fuchsiadeck.core.model.Backend;
 import org.fuchsiadeck.core.model.BackendId;
@@ -58,8 +60,13 @@
         return view.nowMs();
     }
 
-    Policy policy() {
-        return Policies.of(view);
+    /** Returns the values in force for a subject. */
+    Policy policy(Subject subject) {
+        PolicyTable table = state.policies().at(view.config(), view.wallMs()).with(subject);
+        if (table != state.policies()) {
+            state = state.with(table);
+        }
+        return table.policy(subject);
     }
 
     RequestState state() {
@@ -85,7 +92,8 @@
     }
 
     void fleet(UnaryOperator<Fleet> change) {
-        state = state.with(change.apply(state.fleet()));
+        Fleet next = change.apply(state.fleet());
+        state = state.with(next);
     }
 
     void load(String service, UnaryOperator<ServiceLoad> change) {
--- a/core/src/main/java/org/fuchsiadeck/core/request/Waiting.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Waiting.java
@@ -47,7 +47,7 @@
             Ending.refuse(turn, exchange, new Refusal("wait_too_long", comeBack(turn, service)));
             return;
         }
-        if (queue.size() >= turn.policy().queueLimit() && !evictLast(turn, service, ticket)) {
+        if (queue.size() >= Policies.of(turn, exchange).queueLimit() && !evictLast(turn, service, ticket)) {
             Ending.refuse(turn, exchange, new Refusal("queue_full", comeBack(turn, service)));
             return;
         }
--- a/core/src/main/java/org/fuchsiadeck/core/request/Watchdog.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Watchdog.java
@@ -1,6 +1,7 @@
 package org.fuchsiadeck.core.request;
 
 import org.fuchsiadeck.core.limit.ServiceLoad;
+import org.fuchsiadeck.core.model.Backend;
 import org.fuchsiadeck.core.request.RequestEvent.Timer;
 import org.fuchsiadeck.core.request.RequestEvent.TimerFired;
 
@@ -51,7 +52,8 @@
 
     /** Returns the longest wait for the first byte. A whole completion begins when its last token is computed. */
     static long firstByteMs(Turn turn, Exchange exchange) {
-        long timeout = turn.policy().firstByteTimeoutMs();
+        Backend backend = exchange.attempt().get().backend();
+        long timeout = Policies.of(turn, exchange, backend).firstByteTimeoutMs();
         if (exchange.call().stream() || exchange.call().completion().isEmpty()) {
             return timeout;
         }
--- a/core/src/main/java/org/fuchsiadeck/core/routing/Fleet.java
+++ b/core/src/main/java/org/fuchsiadeck/core/routing/Fleet.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.function.ToIntFunction;
 import java.util.function.UnaryOperator;
 
 import io.vavr.collection.Array;
@@ -41,10 +42,10 @@
      *
      * @param listed the servers
      * @param nowMs the time, in milliseconds
-     * @param max the greatest concurrency allowed at a server
+     * @param max gives the greatest concurrency allowed at a server
      * @return the next fleet
      */
-    public Fleet listed(List<Backend> listed, long nowMs, int max) {
+    public Fleet listed(List<Backend> listed, long nowMs, ToIntFunction<Backend> max) {
         if (unchanged(listed, nowMs)) {
             return this;
         }
@@ -52,8 +53,9 @@
                 servers.filterValues(s -> s.inFlight() > 0).mapValues(Server::unlisted);
         Map<BackendId, Departure> leaving = departures.filterValues(d -> nowMs < d.heldUntilMs());
         for (Backend backend : listed) {
-            Server server =
-                    servers.get(backend.id()).map(s -> s.listed(backend)).getOrElse(() -> Server.fresh(backend, max));
+            Server server = servers.get(backend.id())
+                    .map(s -> s.listed(backend))
+                    .getOrElse(() -> Server.fresh(backend, max.applyAsInt(backend)));
             next = next.put(backend.id(), server);
             if (backend.leaving() && !leaving.containsKey(backend.id())) {
                 leaving = leaving.put(backend.id(), Departure.assumed(nowMs));
--- a/core/src/main/java/org/fuchsiadeck/core/routing/Placement.java
+++ b/core/src/main/java/org/fuchsiadeck/core/routing/Placement.java
@@ -2,9 +2,11 @@
 
 import java.util.List;
 import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
 
 import io.vavr.collection.Array;
 import io.vavr.control.Option;
+import org.fuchsiadeck.core.model.Backend;
 import org.fuchsiadeck.core.model.BackendId;
 import org.fuchsiadeck.core.model.VersionShares;
 
@@ -14,9 +16,9 @@
  * @param fleet the fleet, with the pool of the need prepared
  * @param shares which versions may take traffic
  * @param router chooses among the servers that may take the request
- * @param max the greatest concurrency allowed at a server
+ * @param max gives the greatest concurrency allowed at a server
  */
-public record Placement(Fleet fleet, VersionShares shares, Router router, int max) {
+public record Placement(Fleet fleet, VersionShares shares, Router router, ToIntFunction<Backend> max) {
     /** Whether a server may take a request. */
     public enum Availability {
         /** One was found. */
@@ -117,7 +119,7 @@
     }
 
     private boolean room(Server server) {
-        return server.inFlight() < server.limit().allowed(max);
+        return server.inFlight() < server.limit().allowed(max.applyAsInt(server.backend()));
     }
 
     private static boolean preferred(Server server, Wanted wanted, Query query) {
--- a/core/src/main/java/org/fuchsiadeck/core/routing/ScoredRouter.java
+++ b/core/src/main/java/org/fuchsiadeck/core/routing/ScoredRouter.java
@@ -72,8 +72,18 @@
         return picks;
     }
 
-    private static double score(Server server, Query query, double meanPrice) {
+    /**
+     * Returns the load as a server of the usual weight would have it. The request to come is counted, so that an idle
+     * server of a greater weight goes before an idle one of a lesser weight.
+     */
+    private static double weighted(Server server, Query query) {
         double load = server.loadAt(query.nowMs());
+        double own = 1.0 / server.backend().slots();
+        return (load + own) / query.weight().applyAsDouble(server.backend()) - own;
+    }
+
+    private static double score(Server server, Query query, double meanPrice) {
+        double load = weighted(server, query);
         double prefix = query.sent().match(query.prefix(), server.backend().id());
         double zone = server.backend().zone().equals(query.zone()) ? 0 : ZONE_WEIGHT;
         double price = meanPrice > 0 ? PRICE_WEIGHT * server.backend().pricePerHour() / meanPrice : 0;
--- a/core/src/test/java/org/fuchsiadeck/core/request/Harness.java
+++ b/core/src/test/java/org/fuchsiadeck/core/request/Harness.java
@@ -15,6 +15,7 @@
 import org.fuchsiadeck.core.Step;
 import org.fuchsiadeck.core.View;
 import org.fuchsiadeck.core.config.Configuration;
+import org.fuchsiadeck.core.config.ExceptionRule;
 import org.fuchsiadeck.core.config.Policy;
 import org.fuchsiadeck.core.config.Route;
 import org.fuchsiadeck.core.config.Team;
@@ -44,6 +45,9 @@
     Policy policy = Policy.DEFAULT;
     VersionShares shares = VersionShares.NONE;
     List<Team> teams = List.of();
+    List<ExceptionRule> exceptions = List.of();
+    long wallMs = 1_000;
+    private Configuration config = Configuration.NONE;
     RequestState state = RequestState.initial();
     long nowMs = 1_000;
 
@@ -75,8 +79,9 @@
 
     View view() {
         Identity self = new Identity(new NodeId("n1"), new Zone("howrah"), new Address("127.0.0.1", 1), 42);
-        Configuration config = new Configuration(1, policy, List.of(), List.of(MEAL, STATUS, DRAFT), teams);
-        return new View(self, nowMs, nowMs, config, shares, Peers.NONE);
+        Configuration now = new Configuration(1, policy, exceptions, List.of(MEAL, STATUS, DRAFT), teams);
+        config = now.equals(config) ? config : now;
+        return new View(self, nowMs, wallMs, config, shares, Peers.NONE);
     }
 
     /** Advances the time and delivers the timers that are due, in their order. */
@@ -149,6 +154,24 @@
         return backend(id, "assistant", Backend.Kind.ENGINE, version, 4, false);
     }
 
+    static Backend app(String id, String zone) {
+        Backend b = app(id);
+        return new Backend(
+                b.id(),
+                b.address(),
+                new Zone(zone),
+                b.kind(),
+                b.service(),
+                b.version(),
+                b.models(),
+                b.adapters(),
+                b.roles(),
+                b.slots(),
+                b.pricePerHour(),
+                b.reclaimable(),
+                b.leaving());
+    }
+
     static Backend[] apps(int count) {
         return IntStream.range(0, count).mapToObj(i -> app("a" + i)).toArray(Backend[]::new);
     }
--- a/core/src/test/java/org/fuchsiadeck/core/routing/SubsetTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/routing/SubsetTest.java
@@ -58,7 +58,7 @@
     void takesAnotherPartWhenTheWholePartLeaves() {
         Need need = new Need("assistant", Backend.Kind.ENGINE, Optional.empty(), Optional.empty());
         Identity self = new Identity(new NodeId("n0"), new Zone("z"), ADDRESS, 1);
-        Fleet fleet = Fleet.EMPTY.listed(backends(400).asJava(), 0, 32).pooled(need, self, peers(100, 0));
+        Fleet fleet = Fleet.EMPTY.listed(backends(400).asJava(), 0, b -> 32).pooled(need, self, peers(100, 0));
         Set<BackendId> part = fleet.pools().get(need).get().members().toJavaSet();
         assertThat(part).hasSizeLessThan(200);
         for (BackendId id : part) {
--- a/node/src/main/java/org/fuchsiadeck/node/backend/BackendClient.java
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/BackendClient.java
@@ -32,6 +32,7 @@
     private final HttpClient client;
     private final Supplier<Configuration> configuration;
     private final BackendIo io;
+    private final ConnectionAges ages;
     private final Counter attempts;
     private final Counter reused;
 
@@ -55,6 +56,7 @@
         this.client = client;
         this.configuration = configuration;
         this.io = new BackendIo(events, log, metrics, maxAnswerBytes);
+        this.ages = new ConnectionAges(configuration, System::currentTimeMillis);
         this.attempts = metrics.counter("backend.attempts");
         this.reused = metrics.counter("backend.connections_reused");
     }
@@ -94,7 +96,7 @@
 
     private void begin(Attempt attempt, RequestEffect.Dispatch dispatch) {
         try {
-            connect(attempt, dispatch, configuration.get().defaults().connectionMaxAgeMs());
+            connect(attempt, dispatch, ages.maxMs(dispatch.backend()));
         } catch (RuntimeException e) {
             attempt.failed(e.toString());
         }
@@ -127,7 +129,8 @@
 
     /** Closes idle connections that are too old; called now and then. */
     public void sweep() {
-        io.sweep(configuration.get().defaults().connectionMaxAgeMs());
+        io.sweep(ages::maxMs);
+        ages.forget(io.pool().addresses());
     }
 
     /**
--- a/node/src/main/java/org/fuchsiadeck/node/backend/BackendIo.java
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/BackendIo.java
@@ -2,10 +2,12 @@
 
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.ToLongFunction;
 
 import com.codahale.metrics.MetricRegistry;
 import org.fuchsiadeck.core.Effect;
 import org.fuchsiadeck.core.EventCode;
+import org.fuchsiadeck.core.model.Address;
 import org.fuchsiadeck.core.request.Failure;
 import org.fuchsiadeck.core.request.RequestEffect;
 import org.fuchsiadeck.node.client.HttpConnection;
@@ -80,7 +82,7 @@
         log.handle(new Effect.Log(EventCode.STALE_ANSWER, peer + " " + detail));
     }
 
-    void sweep(long maxAgeMs) {
+    void sweep(ToLongFunction<Address> maxAgeMs) {
         pool.sweep(maxAgeMs);
         ending.keySet().stream().filter(c -> c.silentMs() > END_WAIT_MS).forEach(HttpConnection::close);
     }
--- /dev/null
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/ConnectionAges.java
@@ -0,0 +1,61 @@
+package org.fuchsiadeck.node.backend;
+
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+import org.fuchsiadeck.core.config.Configuration;
+import org.fuchsiadeck.core.config.PolicyTable;
+import org.fuchsiadeck.core.config.Subject;
+import org.fuchsiadeck.core.model.Address;
+import org.fuchsiadeck.core.model.Backend;
+
+/**
+ * How old an idle connection to each backend server may become.
+ */
+final class ConnectionAges {
+    private static final int MAX_SERVERS = 8_192;
+
+    private final Supplier<Configuration> configuration;
+    private final LongSupplier wallMs;
+    private final Map<Address, Subject> servers = new ConcurrentHashMap<>();
+    private volatile PolicyTable policies = PolicyTable.EMPTY;
+
+    /**
+     * Creates the ages of no server.
+     *
+     * @param configuration gives the configuration in force
+     * @param wallMs gives the wall-clock time, in milliseconds since 1970
+     */
+    ConnectionAges(Supplier<Configuration> configuration, LongSupplier wallMs) {
+        this.configuration = configuration;
+        this.wallMs = wallMs;
+    }
+
+    /** Returns the greatest age of a connection to a server that is in use, in milliseconds. */
+    long maxMs(Backend backend) {
+        Subject subject = Subject.of(backend);
+        servers.put(backend.address(), subject);
+        return maxMs(subject);
+    }
+
+    /** Returns the greatest age of a kept connection, in milliseconds. */
+    long maxMs(Address address) {
+        return maxMs(servers.getOrDefault(address, Subject.NONE));
+    }
+
+    /** Forgets servers to which no connections are kept once many are known. */
+    void forget(Set<Address> kept) {
+        if (servers.size() > MAX_SERVERS) {
+            servers.keySet().retainAll(kept);
+        }
+    }
+
+    private long maxMs(Subject subject) {
+        PolicyTable table = policies.at(configuration.get(), wallMs.getAsLong()).with(subject);
+        policies = table;
+        return table.policy(subject).connectionMaxAgeMs();
+    }
+}
--- a/node/src/main/java/org/fuchsiadeck/node/backend/ConnectionPool.java
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/ConnectionPool.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.ToLongFunction;
 
 import org.fuchsiadeck.core.model.Address;
 import org.fuchsiadeck.node.client.HttpConnection;
@@ -86,18 +88,29 @@
     /**
      * Closes connections that are too old or were idle for as long.
      *
-     * @param maxAgeMs the greatest age, in milliseconds
+     * @param maxAgeMs gives the greatest age of a connection to a server, in milliseconds
      */
-    void sweep(long maxAgeMs) {
+    void sweep(ToLongFunction<Address> maxAgeMs) {
         List<HttpConnection> old = new ArrayList<>();
         synchronized (this) {
-            idle.values()
-                    .forEach(d -> d.stream().filter(c -> c.ageMs() >= maxAgeMs).forEach(old::add));
+            idle.forEach((address, kept) -> {
+                long max = maxAgeMs.applyAsLong(address);
+                kept.stream().filter(c -> c.ageMs() >= max).forEach(old::add);
+            });
         }
         old.forEach(this::remove);
         old.forEach(HttpConnection::close);
     }
 
+    /**
+     * Returns the servers to which connections are kept.
+     *
+     * @return their addresses
+     */
+    synchronized Set<Address> addresses() {
+        return Set.copyOf(idle.keySet());
+    }
+
     /**
      * Counts the idle connections.
      *
--- a/node/src/test/java/org/fuchsiadeck/node/backend/AttemptTest.java
+++ b/node/src/test/java/org/fuchsiadeck/node/backend/AttemptTest.java
@@ -3,12 +3,17 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Stream;
 
 import com.codahale.metrics.MetricRegistry;
 import org.fuchsiadeck.core.Event;
+import org.fuchsiadeck.core.config.Configuration;
+import org.fuchsiadeck.core.config.ExceptionRule;
+import org.fuchsiadeck.core.config.Policy;
 import org.fuchsiadeck.core.model.Backend;
 import org.fuchsiadeck.core.model.BackendReport;
 import org.fuchsiadeck.core.model.RequestId;
@@ -368,6 +373,26 @@
         }
     }
 
+    @Test
+    void keepsConnectionsForTheTimeOfTheirZone() throws Exception {
+        ExceptionRule rule = new ExceptionRule(
+                "connections are lost",
+                Map.of("zone", "dumdum"),
+                Map.of("connection_max_age_ms", 1L),
+                OptionalLong.empty());
+        Configuration config = new Configuration(2, Policy.DEFAULT, List.of(rule), List.of(), List.of());
+        backends = new BackendClient(client, events::add, () -> config, log -> {}, metrics, MAX_ANSWER_BYTES);
+        try (FakeServer server = new FakeServer((m, s) -> FakeServer.plain(m, s, 200, "{}"))) {
+            complete(server, "r1", FRESH_MS);
+            Await.until(
+                    "the connection is kept", () -> !backends.idleConnections().isEmpty());
+            Await.until("the connection is closed", () -> {
+                backends.sweep();
+                return backends.idleConnections().isEmpty();
+            });
+        }
+    }
+
     private void complete(FakeServer server, String id, long freshMs) throws Exception {
         events.clear();
         Exchange exchange = exchange(id, false);
