Answer operators' questions in the dump, and add `fuchsiadeck why`

Cause: a dump was one raw tree of the reducer's state. Which server was suspected and why, how old a reported load was, who waited in which queue or where a request went had to be worked out from it by hand, and the last 64 decisions were gone after a moment of traffic.

Change: the dump has config (revision, source, age), backends (load with its age, limit, condition and why), rollouts with a summary of the evidence, queues by service and team, budgets, counters and the last 512 decisions with their route. `state` stays unless `?brief=1` is asked for, and `/dump?raw=1` names the whole form. To answer "why", servers keep their last failure until they answer, and the configuration its source and the time it came into force.

Ruled out: leaving `state` out by default, since tests with processes read it.

Known: the observations of a rollout are not public, so that the evidence is read by the component's name.

--- a/cli/src/main/java/org/fuchsiadeck/cli/Main.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/Main.java
@@ -19,6 +19,7 @@
 import org.fuchsiadeck.cli.state.DumpCommand;
 import org.fuchsiadeck.cli.state.MembersCommand;
 import org.fuchsiadeck.cli.state.OperatorCalls;
+import org.fuchsiadeck.cli.state.WhyCommand;
 import org.fuchsiadeck.node.NodeDaemon;
 import org.fuchsiadeck.node.platform.HttpKeyValueStore;
 import org.fuchsiadeck.testbed.TestbedDaemon;
@@ -62,6 +63,7 @@
         out.put("rollout stop", new StopCommand(connector));
         out.put("members", new MembersCommand(operator));
         out.put("dump", new DumpCommand(operator));
+        out.put("why", new WhyCommand(operator));
         out.putAll(LoadCommand.all());
         out.put("node", new NodeCommand(NODE));
         out.put("testbed", new TestbedCommand(TESTBED));
--- a/cli/src/main/java/org/fuchsiadeck/cli/state/NodeOptions.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/state/NodeOptions.java
@@ -41,10 +41,19 @@
     @Parameter(names = "--timeout-ms", description = "longest wait for the answer, in milliseconds")
     private long timeoutMs = 5_000;
 
-    /** Reads the node's dump. The error is one line. */
+    /** Reads the answers to operators' questions from the node's dump. The error is one line. */
     Either<String, JsonNode> dump(Console console, OperatorCalls calls) {
+        return dump(console, calls, "/dump?brief=1");
+    }
+
+    /** Reads the node's dump with its whole state. The error is one line. */
+    Either<String, JsonNode> rawDump(Console console, OperatorCalls calls) {
+        return dump(console, calls, "/dump?raw=1");
+    }
+
+    private Either<String, JsonNode> dump(Console console, OperatorCalls calls, String path) {
         Map<String, String> headers = Map.of("Authorization", "Bearer " + token(console));
-        return calls.make(new HttpCall(address, "GET", "/dump", headers, "", timeoutMs))
+        return calls.make(new HttpCall(address, "GET", path, headers, "", timeoutMs))
                 .mapLeft(f -> "dump of " + address + ": " + f)
                 .flatMap(this::read);
     }
--- a/cli/src/test/java/org/fuchsiadeck/cli/CommandLineTest.java
+++ b/cli/src/test/java/org/fuchsiadeck/cli/CommandLineTest.java
@@ -2,10 +2,13 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 
 import io.vavr.control.Either;
+import org.fuchsiadeck.cli.state.OperatorCalls;
 import org.fuchsiadeck.node.platform.HttpAnswer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -15,6 +18,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 class CommandLineTest {
+    private final List<String> asked = new ArrayList<>();
+
     @ParameterizedTest
     @ValueSource(
             strings = {
@@ -101,4 +106,37 @@
         assertThat(run.code()).isEqualTo(ExitCode.FAILED);
         assertThat(run.err()).contains("refused the token").hasLineCount(1);
     }
+
+    @Test
+    void tellsWhyARequestWentWhereItWent(@TempDir Path dir) throws Exception {
+        Path token = Files.writeString(dir.resolve("token"), "secret");
+        String dump = "{\"decisions\":[{\"request\":\"r1\",\"decision\":\"DISPATCHED\",\"why\":\"RETRY a2\"},"
+                + "{\"request\":\"r2\",\"decision\":\"REFUSED\",\"why\":\"queue_full\"},"
+                + "{\"request\":\"r1\",\"decision\":\"DISPATCHED\",\"why\":\"FRESH a1\"}]}";
+        CliRun found = operator(dump, token, "why", "--request", "r1");
+        assertThat(found.out())
+                .isEqualTo("request  decision    why\nr1       DISPATCHED  FRESH a1\nr1       DISPATCHED  RETRY a2\n");
+        CliRun absent = operator(dump, token, "why", "--request", "r9");
+        assertThat(absent.code()).isEqualTo(ExitCode.FAILED);
+        assertThat(absent.err()).contains("none of the last 3 decisions is on request r9");
+    }
+
+    @Test
+    void dumpsBrieflyInReadableFormUnlessTheWholeStateIsAskedFor(@TempDir Path dir) throws Exception {
+        Path token = Files.writeString(dir.resolve("token"), "secret");
+        assertThat(operator("{\"draining\":false}", token, "dump").out()).isEqualTo("{\n  \"draining\" : false\n}\n");
+        assertThat(asked).endsWith("/dump?brief=1");
+        operator("{}", token, "dump", "--raw");
+        assertThat(asked).endsWith("/dump?raw=1");
+    }
+
+    private CliRun operator(String answer, Path token, String... args) {
+        List<String> all = new ArrayList<>(List.of(args));
+        all.addAll(List.of("--node", "127.0.0.1:9000", "--token-file", token.toString()));
+        OperatorCalls calls = call -> {
+            asked.add(call.target());
+            return Either.right(new HttpAnswer(200, answer, OptionalLong.empty()));
+        };
+        return CliRun.run(new FakeStore(), calls, all.toArray(String[]::new));
+    }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/config/ConfigReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/ConfigReducer.java
@@ -96,7 +96,7 @@
         if (revision <= draft.revision()) {
             return Step.of(draft.state());
         }
-        draft.inForce(event.configuration(), event.value());
+        draft.inForce(event.configuration(), event.value(), event.source());
         draft.log(EventCode.CONFIG_APPLIED, "revision " + revision + " from " + event.source());
         PeerExchange.announceToMany(draft);
         return finish(draft);
--- a/core/src/main/java/org/fuchsiadeck/core/config/ConfigState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/ConfigState.java
@@ -15,6 +15,7 @@
  *
  * @param current the configuration in force
  * @param value the value of the platform's service that it was read from
+ * @param origin where it came from and when
  * @param candidate the newer configuration being read, and the newest that could not be read
  * @param reading the calls to the platform's service
  * @param exchange the messages with other entry nodes
@@ -25,6 +26,7 @@
 public record ConfigState(
         Configuration current,
         String value,
+        Origin origin,
         Candidate candidate,
         Reading reading,
         Exchange exchange,
@@ -34,6 +36,7 @@
     public ConfigState {
         requireNonNull(current, "current");
         requireNonNull(value, "value");
+        requireNonNull(origin, "origin");
         requireNonNull(candidate, "candidate");
         requireNonNull(reading, "reading");
         requireNonNull(exchange, "exchange");
@@ -51,6 +54,7 @@
         return new ConfigState(
                 Configuration.NONE,
                 "",
+                new Origin("none", 0),
                 new Candidate(0, 0, 0),
                 new Reading(0, Optional.empty(), OptionalLong.empty(), 0, 0, false),
                 new Exchange(0, 0, 0),
@@ -59,6 +63,18 @@
                 List.of("no configuration is known"));
     }
 
+    /**
+     * Where the configuration in force came from.
+     *
+     * @param source {@code platform}, or the entry node that offered it; {@code none} before the first
+     * @param sinceMs when it came into force here, in monotonic milliseconds
+     */
+    public record Origin(String source, long sinceMs) {
+        public Origin {
+            requireNonNull(source, "source");
+        }
+    }
+
     /**
      * Configurations not in force.
      *
--- a/core/src/main/java/org/fuchsiadeck/core/config/Draft.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/Draft.java
@@ -77,10 +77,11 @@
         return chosen;
     }
 
-    void inForce(Configuration configuration, String value) {
+    void inForce(Configuration configuration, String value, String source) {
         state = new ConfigState(
                 configuration,
                 value,
+                new ConfigState.Origin(source, nowMs()),
                 state.candidate(),
                 state.reading(),
                 state.exchange(),
@@ -94,6 +95,7 @@
         state = new ConfigState(
                 state.current(),
                 state.value(),
+                state.origin(),
                 c,
                 state.reading(),
                 state.exchange(),
@@ -106,6 +108,7 @@
         state = new ConfigState(
                 state.current(),
                 state.value(),
+                state.origin(),
                 state.candidate(),
                 reading,
                 state.exchange(),
@@ -124,6 +127,7 @@
         state = new ConfigState(
                 state.current(),
                 state.value(),
+                state.origin(),
                 state.candidate(),
                 state.reading(),
                 exchange,
@@ -136,6 +140,7 @@
         state = new ConfigState(
                 state.current(),
                 state.value(),
+                state.origin(),
                 state.candidate(),
                 state.reading(),
                 state.exchange(),
@@ -160,6 +165,7 @@
         state = new ConfigState(
                 state.current(),
                 state.value(),
+                state.origin(),
                 state.candidate(),
                 state.reading(),
                 state.exchange(),
--- a/core/src/main/java/org/fuchsiadeck/core/request/Attempts.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Attempts.java
@@ -44,7 +44,8 @@
         long suspectMs = Policies.of(turn, attempt.backend()).suspectMs();
         change(turn, exchange, s -> {
             Health health = s.health().failed(evidence, attempt.trial(), now, suspectMs);
-            return s.with(limit(s.limit(), failure, now)).with(health);
+            Server next = s.with(limit(s.limit(), failure, now)).with(health);
+            return evidence == Evidence.NONE ? next : next.failed(failure.kind() + " " + failure.detail());
         });
         suspected(turn, id, clean || attempt.trial(), failure);
         Verdict verdict = failure.kind() == Failure.Kind.BAD_ANSWER ? Verdict.CORRUPT : Verdict.FAILED;
--- a/core/src/main/java/org/fuchsiadeck/core/request/Decision.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Decision.java
@@ -12,13 +12,15 @@
  *
  * @param atMs when, in milliseconds
  * @param id the request
+ * @param route the name of its route; empty if it has none
  * @param kind what was decided
  * @param backend the server concerned, if any
  * @param reason why
  */
-public record Decision(long atMs, RequestId id, Kind kind, Optional<BackendId> backend, String reason) {
+public record Decision(long atMs, RequestId id, String route, Kind kind, Optional<BackendId> backend, String reason) {
     public Decision {
         requireNonNull(id, "id");
+        requireNonNull(route, "route");
         requireNonNull(kind, "kind");
         requireNonNull(backend, "backend");
         requireNonNull(reason, "reason");
--- a/core/src/main/java/org/fuchsiadeck/core/request/Departures.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Departures.java
@@ -43,7 +43,7 @@
         long graceMs = Policies.of(turn, exchange, attempt.backend()).leavingGraceMs();
         long endMs = departure.get().byMs() - graceMs;
         if (turn.nowMs() < endMs && turn.nowMs() + remainingMs(turn, exchange) <= endMs) {
-            turn.decide(exchange.id(), Decision.Kind.STAYS, Optional.of(attempt.backend()), "fits the notice");
+            turn.decide(exchange, Decision.Kind.STAYS, Optional.of(attempt.backend()), "fits the notice");
             again(turn, exchange, endMs);
             return;
         }
--- a/core/src/main/java/org/fuchsiadeck/core/request/Dispatcher.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Dispatcher.java
@@ -67,7 +67,7 @@
                 .sent(prefix(exchange), backend.id()));
         turn.load(exchange.route().service(), ServiceLoad::dispatched);
         turn.count(c -> c.dispatchedOne(cause));
-        turn.decide(exchange.id(), Decision.Kind.DISPATCHED, Optional.of(backend), cause + " " + choice.reason());
+        turn.decide(exchange, Decision.Kind.DISPATCHED, Optional.of(backend), cause + " " + choice.reason());
         long left = Math.max(1, exchange.deadlineMs() - now);
         turn.effect(new RequestEffect.Dispatch(
                 exchange.id(), number, backend, freshMs(turn, exchange, server), left, importFrom));
--- a/core/src/main/java/org/fuchsiadeck/core/request/Ending.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Ending.java
@@ -33,14 +33,14 @@
             return;
         }
         if (!exchange.callerGone()) {
-            refuseUnkept(turn, exchange.id(), refusal);
+            refuseUnkept(turn, exchange.id(), exchange.route().name(), refusal);
         }
         close(turn, exchange, Settlement.NOT_RUN);
     }
 
     /** Refuses a request that belongs to no route. */
     static void refuseUnknown(Turn turn, RequestId id, Refusal refusal) {
-        refuseUnkept(turn, id, refusal);
+        refuseUnkept(turn, id, "", refusal);
         turn.effect(new RequestEffect.Release(id));
     }
 
@@ -48,7 +48,7 @@
         String reason = denial == RequestEvent.Denial.IN_PROGRESS ? "in_progress" : "already_answered";
         String detail = "An earlier request has the same idempotency key.";
         turn.effect(new RequestEffect.Respond(exchange.id(), Outcome.DUPLICATE, CONFLICT, 0, reason, detail));
-        turn.decide(exchange.id(), Decision.Kind.DUPLICATE, Optional.empty(), reason);
+        turn.decide(exchange, Decision.Kind.DUPLICATE, Optional.empty(), reason);
         turn.count(Counters::duplicateOne);
         close(turn, exchange, Settlement.NOT_RUN);
     }
@@ -78,16 +78,16 @@
                     new RequestEffect.Respond(exchange.id(), Outcome.UNKNOWN, status, 0, why.reason(), why.detail()));
         }
         turn.log(EventCode.REQUEST_OUTCOME_UNKNOWN, exchange.id() + " " + why.reason() + ": " + why.detail());
-        turn.decide(exchange.id(), Decision.Kind.UNKNOWN, Optional.empty(), why.reason());
+        turn.decide(exchange, Decision.Kind.UNKNOWN, Optional.empty(), why.reason());
         turn.count(c -> c.unknownOne(why.reason()));
         close(turn, exchange, Settlement.UNKNOWN);
     }
 
-    private static void refuseUnkept(Turn turn, RequestId id, Refusal refusal) {
+    private static void refuseUnkept(Turn turn, RequestId id, String route, Refusal refusal) {
         turn.effect(new RequestEffect.Respond(
                 id, Outcome.NOT_RUN, refusal.status(), refusal.retryAfterMs(), refusal.reason(), NOT_RUN_DETAIL));
         turn.log(EventCode.REQUEST_REFUSED, id + " " + refusal.reason());
-        turn.decide(id, Decision.Kind.REFUSED, Optional.empty(), refusal.reason());
+        turn.decide(id, route, Decision.Kind.REFUSED, Optional.empty(), refusal.reason());
         turn.count(c -> c.refusedOne(refusal.reason()));
     }
 
--- a/core/src/main/java/org/fuchsiadeck/core/request/Turn.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Turn.java
@@ -29,7 +29,7 @@
  * The reduction of one event: the state as it changes, and the effects so far. Lives no longer than the event.
  */
 final class Turn {
-    private static final int MAX_DECISIONS = 64;
+    private static final int MAX_DECISIONS = 512;
 
     private final View view;
     private final Router router;
@@ -121,8 +121,12 @@
         effects.add(new Effect.Log(code, detail));
     }
 
-    void decide(RequestId id, Decision.Kind kind, Optional<Backend> backend, String reason) {
-        Decision decision = new Decision(nowMs(), id, kind, backend.map(Backend::id), reason);
+    void decide(Exchange exchange, Decision.Kind kind, Optional<Backend> backend, String reason) {
+        decide(exchange.id(), exchange.route().name(), kind, backend, reason);
+    }
+
+    void decide(RequestId id, String route, Decision.Kind kind, Optional<Backend> backend, String reason) {
+        Decision decision = new Decision(nowMs(), id, route, kind, backend.map(Backend::id), reason);
         Queue<Decision> all = state.decisions().enqueue(decision);
         state = state.withDecisions(all.size() > MAX_DECISIONS ? all.tail() : all);
     }
--- a/core/src/main/java/org/fuchsiadeck/core/request/Waiting.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Waiting.java
@@ -126,7 +126,7 @@
         String service = exchange.route().service();
         turn.state(turn.state().withQueue(service, queue(turn, service).joined(ticket)));
         turn.keep(exchange.queued(ticket));
-        turn.decide(exchange.id(), Decision.Kind.QUEUED, Optional.empty(), "all servers are full");
+        turn.decide(exchange, Decision.Kind.QUEUED, Optional.empty(), "all servers are full");
     }
 
     private static FairQueue queue(Turn turn, String service) {
--- a/core/src/main/java/org/fuchsiadeck/core/routing/Server.java
+++ b/core/src/main/java/org/fuchsiadeck/core/routing/Server.java
@@ -14,14 +14,22 @@
  * @param limit how many there may be
  * @param health whether it is suspected
  * @param load the work of others there
+ * @param lastFailure what failed there since it last answered; empty if nothing did
  */
 public record Server(
-        Backend backend, boolean listed, int inFlight, ConcurrencyLimit limit, Health health, ReportedLoad load) {
+        Backend backend,
+        boolean listed,
+        int inFlight,
+        ConcurrencyLimit limit,
+        Health health,
+        ReportedLoad load,
+        String lastFailure) {
     public Server {
         requireNonNull(backend, "backend");
         requireNonNull(limit, "limit");
         requireNonNull(health, "health");
         requireNonNull(load, "load");
+        requireNonNull(lastFailure, "lastFailure");
     }
 
     /**
@@ -33,7 +41,7 @@
      */
     static Server fresh(Backend backend, int max) {
         ConcurrencyLimit limit = ConcurrencyLimit.start(backend.slots(), max);
-        return new Server(backend, true, 0, limit, Health.GOOD, ReportedLoad.NONE);
+        return new Server(backend, true, 0, limit, Health.GOOD, ReportedLoad.NONE, "");
     }
 
     /**
@@ -47,15 +55,15 @@
     }
 
     Server listed(Backend now) {
-        return new Server(now, true, inFlight, limit, health, load);
+        return new Server(now, true, inFlight, limit, health, load, lastFailure);
     }
 
     Server unlisted() {
-        return new Server(backend, false, inFlight, limit, health, load);
+        return new Server(backend, false, inFlight, limit, health, load, lastFailure);
     }
 
     Server reported(ReportedLoad next) {
-        return new Server(backend, listed, inFlight, limit, health, next);
+        return new Server(backend, listed, inFlight, limit, health, next, lastFailure);
     }
 
     /**
@@ -65,7 +73,7 @@
      * @return the server with the new number
      */
     public Server attempts(int change) {
-        return new Server(backend, listed, inFlight + change, limit, health, load);
+        return new Server(backend, listed, inFlight + change, limit, health, load, lastFailure);
     }
 
     /**
@@ -75,7 +83,7 @@
      * @return the server with the limit
      */
     public Server with(ConcurrencyLimit next) {
-        return new Server(backend, listed, inFlight, next, health, load);
+        return new Server(backend, listed, inFlight, next, health, load, lastFailure);
     }
 
     /**
@@ -85,6 +93,17 @@
      * @return the server with the health
      */
     public Server with(Health next) {
-        return new Server(backend, listed, inFlight, limit, next, load);
+        String failure = next.clean() ? "" : lastFailure;
+        return new Server(backend, listed, inFlight, limit, next, load, failure);
+    }
+
+    /**
+     * Notes a failure that speaks against the server.
+     *
+     * @param failure what was seen
+     * @return the server with the failure
+     */
+    public Server failed(String failure) {
+        return new Server(backend, listed, inFlight, limit, health, load, failure);
     }
 }
--- a/node/src/main/java/org/fuchsiadeck/node/Node.java
+++ b/node/src/main/java/org/fuchsiadeck/node/Node.java
@@ -7,8 +7,6 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Either;
 import org.fuchsiadeck.core.Effect;
 import org.fuchsiadeck.core.Event;
@@ -29,9 +27,10 @@
 import org.fuchsiadeck.node.front.Front;
 import org.fuchsiadeck.node.listing.InstanceList;
 import org.fuchsiadeck.node.log.EventLog;
+import org.fuchsiadeck.node.operator.DumpJson;
+import org.fuchsiadeck.node.operator.DumpSource;
 import org.fuchsiadeck.node.operator.Operations;
 import org.fuchsiadeck.node.operator.OperatorServer;
-import org.fuchsiadeck.node.operator.StateJson;
 import org.fuchsiadeck.node.run.Closer;
 import org.fuchsiadeck.node.run.EffectHandler;
 import org.fuchsiadeck.node.run.Effects;
@@ -206,19 +205,19 @@
         return reasons;
     }
 
-    private JsonNode dump() {
-        NodeState state = loop.state();
-        ObjectNode json = JsonNodeFactory.instance.objectNode();
-        json.put("now_ms", loop.nowMs());
-        json.put("draining", drain.isRequested());
-        json.set("unready", StateJson.of(unready()));
-        json.set("settings", StateJson.of(settings));
-        json.put("config_revision", configuration().revision());
-        json.set("members", StateJson.of(state.members().members()));
-        json.set("idle_connections", StateJson.of(backends.idleConnections()));
-        json.put("requests_open", exchanges.size());
-        json.set("state", StateJson.of(state));
-        return json;
+    private JsonNode dump(boolean whole) {
+        DumpSource source = new DumpSource(
+                loop.nowMs(),
+                System.currentTimeMillis(),
+                loop.state(),
+                configuration(),
+                settings,
+                metrics,
+                drain.isRequested(),
+                unready(),
+                backends.idleConnections(),
+                exchanges.size());
+        return DumpJson.of(source, whole);
     }
 
     /** Opens one part. */
--- a/node/src/main/java/org/fuchsiadeck/node/operator/Operations.java
+++ b/node/src/main/java/org/fuchsiadeck/node/operator/Operations.java
@@ -16,12 +16,23 @@
  * @param metrics the node's figures
  * @param drain starts a graceful shutdown
  */
-public record Operations(
-        Supplier<List<String>> unready, Supplier<JsonNode> dump, MetricRegistry metrics, Runnable drain) {
+public record Operations(Supplier<List<String>> unready, Dump dump, MetricRegistry metrics, Runnable drain) {
     public Operations {
         requireNonNull(unready, "unready");
         requireNonNull(dump, "dump");
         requireNonNull(metrics, "metrics");
         requireNonNull(drain, "drain");
     }
+
+    /** Gives the node's state. */
+    @FunctionalInterface
+    public interface Dump {
+        /**
+         * Takes a dump.
+         *
+         * @param whole whether the whole state goes with it
+         * @return the dump
+         */
+        JsonNode take(boolean whole);
+    }
 }
--- a/node/src/main/java/org/fuchsiadeck/node/operator/OperatorHandler.java
+++ b/node/src/main/java/org/fuchsiadeck/node/operator/OperatorHandler.java
@@ -48,13 +48,18 @@
             return;
         }
         switch (call) {
-            case "GET /dump" -> answer(response, OK, operations.dump().get());
+            case "GET /dump" -> answer(response, OK, dump(request));
             case "GET /metrics" -> answer(response, OK, MetricsJson.of(operations.metrics()));
             case "POST /drain" -> drain(response);
             default -> answer(response, NOT_FOUND, json().put("error", "not_found"));
         }
     }
 
+    private JsonNode dump(Request request) {
+        boolean brief = "1".equals(request.getParameter("brief"));
+        return operations.dump().take(!brief);
+    }
+
     private boolean isOperator(Request request) {
         String given = request.getHeader("Authorization");
         return given != null && MessageDigest.isEqual(expected, given.getBytes(StandardCharsets.UTF_8));
--- a/node/src/main/java/org/fuchsiadeck/node/operator/StateJson.java
+++ b/node/src/main/java/org/fuchsiadeck/node/operator/StateJson.java
@@ -131,6 +131,22 @@
         return json;
     }
 
+    /**
+     * Reads a component of a record of any type.
+     *
+     * @param value the record
+     * @param name the component's name
+     * @return its value; null if the record has no such component
+     */
+    static Object component(Object value, String name) {
+        for (RecordComponent component : value.getClass().getRecordComponents()) {
+            if (component.getName().equals(name)) {
+                return read(component, (Record) value);
+            }
+        }
+        return null;
+    }
+
     private static Object read(RecordComponent component, Record value) {
         try {
             component.getAccessor().setAccessible(true);
--- a/node/src/test/java/org/fuchsiadeck/node/operator/OperatorServerTest.java
+++ b/node/src/test/java/org/fuchsiadeck/node/operator/OperatorServerTest.java
@@ -30,7 +30,12 @@
                             "\"config_revision\":1",
                             "\"operatorToken\":\"(hidden)\"",
                             backend.address().toString())
+                    .contains("\"state\":")
                     .doesNotContain("secret-word");
+            assertThat(get(node, "/dump?raw=1", TOKEN).text()).contains("\"state\":");
+            assertThat(get(node, "/dump?brief=1", TOKEN).text())
+                    .contains("\"config_revision\":1")
+                    .doesNotContain("\"state\":");
         }
     }
 
--- a/node/src/test/java/org/fuchsiadeck/node/testing/TestNode.java
+++ b/node/src/test/java/org/fuchsiadeck/node/testing/TestNode.java
@@ -118,7 +118,7 @@
                 : Optional.empty();
     }
 
-    private static Settings settings(Address list) {
+    public static Settings settings(Address list) {
         return new Settings(
                 new Identity(new NodeId("n1"), new Zone("dumdum"), Sockets.freeAddress(), 1),
                 Sockets.freeAddress(),
