Bound the bytes held for callers and the streams in progress over a node

Cause: what waits for a caller was bounded for each connection only. 2,000 connections with whole answers of 4 MiB, or with bodies of 1 MiB being read, are more than the memory of a small instance; the text kept of a stream had no bound.

Change: ByteBudget counts bodies, gathered answers, bytes that wait for callers and the texts of streams over the node (limits.max_buffered_bytes). Above three quarters new requests are refused as not run with Retry-After, streams are read less far ahead, and a caller who takes no byte for two seconds is given up. Beyond the limit an answer or text that grows past 16 KiB is given up as NO_ROOM, which counts against neither the server nor its version. limits.max_streams refuses streams at arrival. A stream may have no more tokens than the caller's max_tokens, and half of the budget as its text.

A drain with no live peer no longer waits for the handover of claims: nobody is there to take them.

--- a/core/src/main/java/org/fuchsiadeck/core/request/Attempts.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Attempts.java
@@ -48,8 +48,7 @@
             return evidence == Evidence.NONE ? next : next.failed(failure.kind() + " " + failure.detail());
         });
         suspected(turn, id, clean || attempt.trial(), failure);
-        Verdict verdict = failure.kind() == Failure.Kind.BAD_ANSWER ? Verdict.CORRUPT : Verdict.FAILED;
-        close(turn, exchange, leaving ? Verdict.NEUTRAL : verdict, -1);
+        close(turn, exchange, leaving ? Verdict.NEUTRAL : verdict(failure), -1);
     }
 
     /** Ends the attempt for a reason that says nothing of the server. */
@@ -115,10 +114,18 @@
                 attempt.load()));
     }
 
+    private static Verdict verdict(Failure failure) {
+        return switch (failure.kind()) {
+            case BAD_ANSWER -> Verdict.CORRUPT;
+            case NO_ROOM -> Verdict.NEUTRAL;
+            default -> Verdict.FAILED;
+        };
+    }
+
     private static Evidence evidence(Failure failure) {
         return switch (failure.kind()) {
             case UNREACHABLE -> Evidence.SERVER;
-            case REFUSED_NOT_RUN -> Evidence.NONE;
+            case REFUSED_NOT_RUN, NO_ROOM -> Evidence.NONE;
             default -> Evidence.CONNECTION;
         };
     }
--- a/core/src/main/java/org/fuchsiadeck/core/request/EndReason.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/EndReason.java
@@ -20,6 +20,9 @@
             new EndReason("retry_budget", false, "The attempt failed, and too many requests are retried already.");
 
     static EndReason of(Failure failure) {
+        if (failure.kind() == Failure.Kind.NO_ROOM) {
+            return new EndReason("node_full", false, text(failure));
+        }
         String reason = "backend_" + failure.kind().name().toLowerCase(Locale.ROOT);
         return new EndReason(reason, failure.kind() == Failure.Kind.TIMEOUT, text(failure));
     }
--- a/core/src/main/java/org/fuchsiadeck/core/request/Failure.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Failure.java
@@ -43,6 +43,8 @@
         /** The backend server refused in the way that its contract says means not run. */
         REFUSED_NOT_RUN,
         /** The backend server answered with an error. */
-        SERVER_ERROR
+        SERVER_ERROR,
+        /** This node had no room for the answer, which says nothing of the server. */
+        NO_ROOM
     }
 }
--- a/core/src/test/java/org/fuchsiadeck/core/request/RequestReducerTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/request/RequestReducerTest.java
@@ -18,6 +18,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.fuchsiadeck.core.request.Harness.MEAL;
 import static org.fuchsiadeck.core.request.Harness.STATUS;
+import static org.fuchsiadeck.core.request.Harness.app;
 import static org.fuchsiadeck.core.request.Harness.apps;
 import static org.fuchsiadeck.core.request.Harness.dispatch;
 import static org.fuchsiadeck.core.request.Harness.of;
@@ -284,4 +285,17 @@
         return respond(node.take(new RequestEvent.ClaimDenied(new RequestId(id), denial)))
                 .outcome();
     }
+
+    @Test
+    void blamesNoServerForAnAnswerTheNodeHasNoRoomFor() {
+        node.list(app("a1"));
+        node.arrive("r1", MEAL);
+        node.writing("r1", 1);
+        List<Effect> ended = node.failed("r1", 1, Step.STREAMING, Kind.NO_ROOM);
+        assertThat(respond(ended).outcome()).isEqualTo(Outcome.UNKNOWN);
+        assertThat(respond(ended).reason()).isEqualTo("node_full");
+        assertThat(node.server("a1").health().clean()).isTrue();
+        assertThat(Harness.raised(ended, AttemptObserved.class).get(0).verdict())
+                .isEqualTo(AttemptObserved.Verdict.NEUTRAL);
+    }
 }
--- a/node/src/main/java/org/fuchsiadeck/node/Node.java
+++ b/node/src/main/java/org/fuchsiadeck/node/Node.java
@@ -22,6 +22,7 @@
 import org.fuchsiadeck.core.request.RequestEffect;
 import org.fuchsiadeck.node.backend.BackendClient;
 import org.fuchsiadeck.node.client.HttpClient;
+import org.fuchsiadeck.node.exchange.ByteBudget;
 import org.fuchsiadeck.node.exchange.Exchanges;
 import org.fuchsiadeck.node.front.CallerServer;
 import org.fuchsiadeck.node.front.Front;
@@ -50,7 +51,8 @@
     private final Closer closer = new Closer();
     private final MetricRegistry metrics = new MetricRegistry();
     private final EventLog log = new EventLog();
-    private final Exchanges exchanges = new Exchanges();
+    private final Exchanges exchanges;
+    private final ByteBudget budget;
     private final Effects effects = new Effects();
     private final EventLoop loop;
     private final Drain drain;
@@ -62,6 +64,8 @@
     private Node(Settings settings, Parts parts) {
         this.settings = settings;
         this.parts = parts;
+        this.exchanges = new Exchanges(settings.limits().maxStreams());
+        this.budget = new ByteBudget(settings.limits().maxBufferedBytes());
         this.loop = new EventLoop(NodeState.initial(settings.identity()), parts.decisions(), effects, metrics);
         this.drain = new Drain(this::beginDrain, () -> exchanges.size() + callers.unfinished(), this::handedOver);
     }
@@ -111,6 +115,8 @@
                 "operators.address",
                 () -> OperatorServer.start(settings.operators(), settings.operatorToken(), operations())));
         metrics.registerGauge("requests.open", exchanges::size);
+        metrics.registerGauge("requests.streams", exchanges::streams);
+        metrics.registerGauge(DumpJson.BUFFERED_BYTES, budget::held);
         metrics.registerGauge("front.connections", callers::connections);
         loop.start();
         loop.post(new Lifecycle.Started());
@@ -127,6 +133,7 @@
                 settings.identity().id(),
                 settings.callers(),
                 settings.limits(),
+                budget,
                 exchanges,
                 loop,
                 this::configuration,
@@ -166,7 +173,13 @@
     }
 
     private boolean handedOver() {
-        return loop.state().claims().handedOver(settings.identity().id());
+        return handedOver(loop.state());
+    }
+
+    /** Tells whether nothing is left to hand over, or nobody is there to take it. */
+    static boolean handedOver(NodeState state) {
+        boolean alone = state.members().peers().alive().isEmpty();
+        return alone || state.claims().handedOver(state.self().id());
     }
 
     private void beginDrain(long noticeMs) {
--- a/node/src/main/java/org/fuchsiadeck/node/backend/Attempt.java
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/Attempt.java
@@ -136,7 +136,7 @@
         } else if (resumedAt > 0) {
             fail(Kind.SERVER_ERROR, "status " + head.status() + " to a resumed stream");
         } else {
-            reply = new PlainReply(head, io.maxAnswerBytes(), this::whole);
+            reply = new PlainReply(head, io.maxAnswerBytes(), this::gather, this::whole);
         }
     }
 
@@ -195,6 +195,14 @@
         fail(Kind.CLOSED, detail);
     }
 
+    private boolean gather(int bytes) {
+        if (exchange.gather(dispatch.attempt(), bytes)) {
+            return true;
+        }
+        fail(Kind.NO_ROOM, "the node holds too many bytes for its callers");
+        return false;
+    }
+
     private void whole(WholeAnswer answer) {
         exchange.whole(dispatch.attempt(), answer);
         complete(answer.status(), 0, 0);
--- a/node/src/main/java/org/fuchsiadeck/node/backend/PlainReply.java
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/PlainReply.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.function.Consumer;
+import java.util.function.IntPredicate;
 
 import org.fuchsiadeck.node.exchange.WholeAnswer;
 import org.glassfish.grizzly.Buffer;
@@ -12,22 +13,27 @@
 final class PlainReply implements Reply {
     private final AnswerHead head;
     private final int maxBytes;
+    private final IntPredicate room;
     private final Consumer<WholeAnswer> done;
     private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
 
-    PlainReply(AnswerHead head, int maxBytes, Consumer<WholeAnswer> done) {
+    PlainReply(AnswerHead head, int maxBytes, IntPredicate room, Consumer<WholeAnswer> done) {
         this.head = head;
         this.maxBytes = maxBytes;
+        this.room = room;
         this.done = done;
     }
 
     @Override
     public void body(Buffer part) throws BadAnswerException {
-        byte[] copy = new byte[part.remaining()];
-        part.get(copy);
-        if (bytes.size() + copy.length > maxBytes) {
+        if (bytes.size() + part.remaining() > maxBytes) {
             throw new BadAnswerException("the answer is longer than " + maxBytes + " bytes");
         }
+        if (!room.test(part.remaining())) {
+            return;
+        }
+        byte[] copy = new byte[part.remaining()];
+        part.get(copy);
         bytes.writeBytes(copy);
     }
 
--- a/node/src/main/java/org/fuchsiadeck/node/exchange/Exchange.java
+++ b/node/src/main/java/org/fuchsiadeck/node/exchange/Exchange.java
@@ -3,7 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
+import java.util.Optional;
 
 import org.fuchsiadeck.core.model.RequestId;
 import org.fuchsiadeck.core.request.CallerRequest;
@@ -18,20 +18,16 @@
  * #relay} reaches the caller; what others send is held or dropped.
  */
 public final class Exchange {
-    private static final int PROGRESS_TOKENS = 64;
-    private static final long PROGRESS_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
-
     private final RequestId id;
     private final CallerRequest call;
     private final CallerBody body;
     private final CallerChannel caller;
     private final EventSink events;
+    private final ByteBudget.Account account;
     private final Map<Integer, Inbox> inboxes = new HashMap<>();
-    private final StringBuilder text = new StringBuilder();
+    private final StreamText text;
+    private final Progress progress = new Progress();
     private Inbox relayed;
-    private int delivered;
-    private int reported;
-    private long reportedNanos = System.nanoTime() - PROGRESS_NANOS;
     private boolean released;
 
     /**
@@ -42,13 +38,18 @@
      * @param body what only the data path needs
      * @param caller the way back
      * @param events takes reports of progress
+     * @param room what the exchange may hold
      */
-    public Exchange(RequestId id, CallerRequest call, CallerBody body, CallerChannel caller, EventSink events) {
+    public Exchange(
+            RequestId id, CallerRequest call, CallerBody body, CallerChannel caller, EventSink events, Room room) {
         this.id = requireNonNull(id, "id");
         this.call = requireNonNull(call, "call");
         this.body = requireNonNull(body, "body");
         this.caller = requireNonNull(caller, "caller");
         this.events = requireNonNull(events, "events");
+        this.account = room.budget().open();
+        this.text = new StreamText(room, account);
+        account.add(body.bytes().length);
         caller.onDrained(this::drained);
     }
 
@@ -85,7 +86,7 @@
      * @return the journal as it is now
      */
     public synchronized Journal journal() {
-        return new Journal(text.toString(), delivered);
+        return text.journal();
     }
 
     /**
@@ -99,7 +100,7 @@
         if (released) {
             return false;
         }
-        inboxes.put(attempt, new Inbox(attempt, control));
+        inboxes.put(attempt, new Inbox(attempt, control, account));
         return true;
     }
 
@@ -151,6 +152,18 @@
         }
     }
 
+    /**
+     * Counts bytes of an attempt's plain answer before they are kept.
+     *
+     * @param attempt the attempt
+     * @param bytes how many there are
+     * @return false if the node has no room for them, so that the attempt must fail
+     */
+    public synchronized boolean gather(int attempt, int bytes) {
+        Inbox inbox = inboxes.get(attempt);
+        return inbox == null || inbox.gather(bytes);
+    }
+
     /**
      * Takes the event that ends an attempt's whole stream. It goes to the caller with {@link #endStream}.
      *
@@ -226,9 +239,10 @@
      */
     public synchronized void forget(int attempt) {
         Inbox inbox = inboxes.remove(attempt);
-        if (inbox != null && inbox == relayed) {
-            relayed = null;
+        if (inbox != null) {
+            inbox.discard();
         }
+        relayed = inbox == relayed ? null : relayed;
     }
 
     /** Ends all attempts. A caller who has no final answer yet sees its connection closed. */
@@ -242,16 +256,18 @@
         }
         open.values().forEach(i -> i.control.fail(Failure.Kind.CLOSED, "the request was released"));
         caller.abort();
+        account.close();
     }
 
     /** Reports that a stream which waits for its caller is in progress; called now and then. */
     public synchronized void reportWaiting() {
         if (relayed != null && relayed.paused()) {
-            report(System.nanoTime());
+            report();
         }
     }
 
     private void forward(Inbox inbox, Token token) {
+        int delivered = text.tokens();
         if (token.index() < delivered) {
             return;
         }
@@ -259,19 +275,20 @@
             inbox.control.fail(Failure.Kind.BAD_ANSWER, "token " + token.index() + " came after " + (delivered - 1));
             return;
         }
-        text.append(token.text());
-        delivered++;
+        Optional<StreamText.Overrun> overrun = text.append(token.text());
+        if (overrun.isPresent()) {
+            inbox.control.fail(overrun.get().kind(), overrun.get().detail());
+            return;
+        }
         caller.send(token.event());
-        long now = System.nanoTime();
-        if (delivered - reported >= PROGRESS_TOKENS || now - reportedNanos >= PROGRESS_NANOS) {
-            report(now);
+        if (progress.isDue(text.tokens())) {
+            report();
         }
     }
 
-    private void report(long nowNanos) {
-        reported = delivered;
-        reportedNanos = nowNanos;
-        events.post(new RequestEvent.Progressed(id, relayed.attempt, delivered));
+    private void report() {
+        progress.reported(text.tokens());
+        events.post(new RequestEvent.Progressed(id, relayed.attempt, text.tokens()));
     }
 
     private synchronized void drained() {
--- a/node/src/main/java/org/fuchsiadeck/node/exchange/Exchanges.java
+++ b/node/src/main/java/org/fuchsiadeck/node/exchange/Exchanges.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.fuchsiadeck.core.model.RequestId;
 
@@ -11,15 +12,47 @@
  */
 public final class Exchanges {
     private final Map<RequestId, Exchange> open = new ConcurrentHashMap<>();
+    private final AtomicInteger streams = new AtomicInteger();
+    private final int maxStreams;
+
+    /**
+     * Creates an empty collection.
+     *
+     * @param maxStreams most streams in progress
+     */
+    public Exchanges(int maxStreams) {
+        this.maxStreams = maxStreams;
+    }
+
+    /** What became of an exchange that was to be added. */
+    public enum Added {
+        /** It is in progress. */
+        YES,
+        /** A request with the same id is in progress. */
+        SAME_ID,
+        /** As many streams as there may be are in progress. */
+        TOO_MANY_STREAMS
+    }
 
     /**
      * Adds an exchange.
      *
      * @param exchange the exchange
-     * @return false if a request with the same id is in progress
+     * @return whether it is in progress; if not, it must not run
      */
-    public boolean add(Exchange exchange) {
-        return open.putIfAbsent(exchange.id(), exchange) == null;
+    public Added add(Exchange exchange) {
+        boolean stream = exchange.call().stream();
+        if (stream && streams.incrementAndGet() > maxStreams) {
+            streams.decrementAndGet();
+            return Added.TOO_MANY_STREAMS;
+        }
+        if (open.putIfAbsent(exchange.id(), exchange) == null) {
+            return Added.YES;
+        }
+        if (stream) {
+            streams.decrementAndGet();
+        }
+        return Added.SAME_ID;
     }
 
     /**
@@ -40,6 +73,9 @@
     public void release(RequestId id) {
         Exchange exchange = open.remove(id);
         if (exchange != null) {
+            if (exchange.call().stream()) {
+                streams.decrementAndGet();
+            }
             exchange.release();
         }
     }
@@ -53,6 +89,15 @@
         return open.size();
     }
 
+    /**
+     * Returns how many streams are in progress.
+     *
+     * @return the number
+     */
+    public int streams() {
+        return streams.get();
+    }
+
     /** Reports the streams that wait for their callers as in progress. */
     public void reportWaiting() {
         open.values().forEach(Exchange::reportWaiting);
--- a/node/src/main/java/org/fuchsiadeck/node/exchange/Inbox.java
+++ b/node/src/main/java/org/fuchsiadeck/node/exchange/Inbox.java
@@ -11,28 +11,53 @@
 
     final int attempt;
     final AttemptControl control;
+    private final ByteBudget.Account account;
     private final Queue<Token> held = new ArrayDeque<>();
     private int heldBytes;
+    private long gatheredBytes;
     private boolean paused;
     WholeAnswer whole;
     byte[] last;
 
-    Inbox(int attempt, AttemptControl control) {
+    Inbox(int attempt, AttemptControl control, ByteBudget.Account account) {
         this.attempt = attempt;
         this.control = control;
+        this.account = account;
     }
 
     void hold(Token token) {
         held.add(token);
         heldBytes += token.event().length;
+        account.add(token.event().length);
     }
 
     Token poll() {
         Token token = held.poll();
-        heldBytes -= token == null ? 0 : token.event().length;
+        int length = token == null ? 0 : token.event().length;
+        heldBytes -= length;
+        account.add(-length);
         return token;
     }
 
+    /** Counts bytes of a plain answer. Returns false if the node has no room for them. */
+    boolean gather(int bytes) {
+        if (gatheredBytes + bytes <= ByteBudget.SMALL_BYTES) {
+            account.add(bytes);
+        } else if (!account.take(bytes)) {
+            return false;
+        }
+        gatheredBytes += bytes;
+        return true;
+    }
+
+    /** Gives back what was counted. */
+    void discard() {
+        account.add(-gatheredBytes - heldBytes);
+        gatheredBytes = 0;
+        heldBytes = 0;
+        held.clear();
+    }
+
     boolean full() {
         return heldBytes > MAX_HELD_BYTES;
     }
--- a/node/src/main/java/org/fuchsiadeck/node/front/BodyReader.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/BodyReader.java
@@ -3,7 +3,9 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.function.Consumer;
+import java.util.function.IntPredicate;
 
+import org.fuchsiadeck.core.request.RequestEffect.Outcome;
 import org.fuchsiadeck.node.exchange.Refusal;
 import org.glassfish.grizzly.ReadHandler;
 import org.glassfish.grizzly.http.io.NIOInputStream;
@@ -14,16 +16,20 @@
 final class BodyReader implements ReadHandler {
     private static final int BAD_REQUEST = 400;
     private static final int TOO_LARGE = 413;
+    private static final int UNAVAILABLE = 503;
+    private static final long RETRY_AFTER_MS = 1_000;
 
     private final NIOInputStream in;
     private final long maxBytes;
+    private final IntPredicate room;
     private final Consumer<byte[]> whole;
     private final Consumer<Refusal> broken;
     private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
 
-    BodyReader(NIOInputStream in, long maxBytes, Consumer<byte[]> whole, Consumer<Refusal> broken) {
+    BodyReader(NIOInputStream in, long maxBytes, IntPredicate room, Consumer<byte[]> whole, Consumer<Refusal> broken) {
         this.in = in;
         this.maxBytes = maxBytes;
+        this.room = room;
         this.whole = whole;
         this.broken = broken;
     }
@@ -32,6 +38,11 @@
         return Refusal.notRun(TOO_LARGE, "body_too_large", "The body is longer than " + maxBytes + " bytes.");
     }
 
+    static Refusal nodeFull() {
+        String detail = "The node holds too many bytes for its callers.";
+        return new Refusal(Outcome.NOT_RUN, UNAVAILABLE, RETRY_AFTER_MS, "node_full", detail);
+    }
+
     /** Starts to read. */
     void start() {
         in.notifyAvailable(this);
@@ -62,6 +73,10 @@
             broken.accept(tooLarge(maxBytes));
             return false;
         }
+        if (!room.test(available)) {
+            broken.accept(nodeFull());
+            return false;
+        }
         byte[] part = new byte[available];
         int read = available == 0 ? 0 : in.read(part);
         bytes.write(part, 0, Math.max(0, read));
--- a/node/src/main/java/org/fuchsiadeck/node/front/CallerConnection.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerConnection.java
@@ -38,6 +38,8 @@
     private long sinceNanos = System.nanoTime();
     private long receivedBytes;
     private boolean closed;
+    private int pendingBytes;
+    private long pendingNanos;
     private CallerResponse response;
     private Runnable onGone = () -> {};
     private Runnable onSlow;
@@ -117,6 +119,9 @@
 
     private boolean next() {
         synchronized (this) {
+            if (response != null) {
+                response.flushed();
+            }
             response = null;
             onGone = () -> {};
             onSlow = null;
@@ -179,6 +184,23 @@
         }
     }
 
+    /** Gives up a caller who took no byte of its answer for some time. Called at each sweep while bytes are short. */
+    void sweepTight(long stuckMs) {
+        boolean stuck;
+        synchronized (this) {
+            long now = System.nanoTime();
+            int pending = ((NIOConnection) connection).getAsyncWriteQueue().spaceInBytes();
+            if (phase != Phase.ANSWERING || pending == 0 || pending != pendingBytes) {
+                pendingBytes = pending;
+                pendingNanos = now;
+            }
+            stuck = TimeUnit.NANOSECONDS.toMillis(now - pendingNanos) > stuckMs;
+        }
+        if (stuck) {
+            connection.terminateSilently();
+        }
+    }
+
     private boolean isStalled(long waitedMs, long slowMs, long idleMs) {
         return switch (phase) {
             case IDLE -> waitedMs > idleMs;
--- a/node/src/main/java/org/fuchsiadeck/node/front/CallerHandler.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerHandler.java
@@ -18,6 +18,7 @@
 import org.fuchsiadeck.node.exchange.Exchange;
 import org.fuchsiadeck.node.exchange.Exchanges;
 import org.fuchsiadeck.node.exchange.Refusal;
+import org.fuchsiadeck.node.exchange.Room;
 import org.fuchsiadeck.node.run.EventSink;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.filterchain.TransportFilter;
@@ -47,6 +48,7 @@
     private final Executor pump;
     private final BooleanSupplier draining;
     private final long maxBodyBytes;
+    private final Room room;
 
     CallerHandler(Front front, RefusalLog refusals, RequestIds ids, Executor pump, BooleanSupplier draining) {
         this.ids = ids;
@@ -58,6 +60,7 @@
         this.pump = pump;
         this.draining = draining;
         this.maxBodyBytes = front.limits().maxBodyBytes();
+        this.room = new Room(front.budget(), front.limits().maxBufferedBytes() / 2, Integer.MAX_VALUE);
         setDecodeUrl(false);
     }
 
@@ -79,13 +82,17 @@
         response.suspend();
         CallerConnection connection = CallerConnection.of(request.getContext().getConnection());
         CallerResponse answer =
-                new CallerResponse(response, request.getContext().getConnection(), id, pump, draining);
+                new CallerResponse(response, request.getContext().getConnection(), id, pump, draining, room.budget());
         connection.begin(answer, () -> refuse(answer, slow(), true));
         request.addAfterServiceListener(r -> whenFlushed(r, connection::answered));
         if (bad != null) {
             refuse(answer, bad.refusal(), true);
             return;
         }
+        if (room.budget().isTight()) {
+            refuse(answer, BodyReader.nodeFull(), true);
+            return;
+        }
         try {
             read(request, new Call(id, answer, connection));
         } catch (BadCallException e) {
@@ -132,6 +139,7 @@
         BodyReader reader = new BodyReader(
                 request.getNIOInputStream(),
                 limit,
+                call.answer()::takeBody,
                 bytes -> {
                     Head head = new Head(method, path, team, key, engine, streamable);
                     arrived(call, head, new CallerBody(uri, contentType, bytes));
@@ -145,41 +153,38 @@
 
     private void arrived(Call call, Head head, CallerBody body) {
         try {
-            CallerRequest request = parse(head, body);
-            accept(call, request, body);
+            if (!head.engine()) {
+                accept(call, request(head, body, false, Optional.empty()), body, room);
+                return;
+            }
+            CompletionReader read = CompletionReader.read(body.bytes());
+            if (read.stream() && !head.streamable()) {
+                throw new BadCallException(BAD_REQUEST, "bad_request", "A stream needs HTTP/1.1.");
+            }
+            CallerRequest request = request(head, body, read.stream(), Optional.of(read.completion()));
+            accept(call, request, body, room.forTokens(read.tokenLimit()));
         } catch (BadCallException e) {
             refuse(call.answer(), e.refusal(), false);
         }
     }
 
-    private static CallerRequest parse(Head head, CallerBody body) throws BadCallException {
+    private static CallerRequest request(
+            Head head, CallerBody body, boolean stream, Optional<CallerRequest.Completion> completion) {
         int length = body.bytes().length;
-        if (!head.engine()) {
-            return new CallerRequest(
-                    head.method(), head.path(), head.team(), head.key(), length, false, Optional.empty());
-        }
-        CompletionReader read = CompletionReader.read(body.bytes());
-        if (read.stream() && !head.streamable()) {
-            throw new BadCallException(BAD_REQUEST, "bad_request", "A stream needs HTTP/1.1.");
-        }
-        return new CallerRequest(
-                head.method(),
-                head.path(),
-                head.team(),
-                head.key(),
-                length,
-                read.stream(),
-                Optional.of(read.completion()));
+        return new CallerRequest(head.method(), head.path(), head.team(), head.key(), length, stream, completion);
     }
 
-    private void accept(Call call, CallerRequest request, CallerBody body) {
+    private void accept(Call call, CallerRequest request, CallerBody body, Room allowed) {
         if (!call.connection().isWhole()) {
             return;
         }
         RequestId id = call.id();
-        Exchange exchange = new Exchange(id, request, body, call.answer(), events);
-        if (!exchanges.add(exchange)) {
-            refuse(call.answer(), busy("request_id_in_use", "A request with this id is in progress."), false);
+        Exchange exchange = new Exchange(id, request, body, call.answer(), events, allowed);
+        call.answer().bodyPassedOn();
+        Exchanges.Added added = exchanges.add(exchange);
+        if (added != Exchanges.Added.YES) {
+            refuse(call.answer(), notAdded(added), false);
+            exchange.release();
             return;
         }
         if (!events.offer(new RequestEvent.Arrived(id, request))) {
@@ -218,6 +223,12 @@
         return new Refusal(Outcome.NOT_RUN, UNAVAILABLE, RETRY_AFTER_MS, reason, detail);
     }
 
+    private static Refusal notAdded(Exchanges.Added added) {
+        return added == Exchanges.Added.SAME_ID
+                ? busy("request_id_in_use", "A request with this id is in progress.")
+                : busy("too_many_streams", "The node has as many streams in progress as it may.");
+    }
+
     private static Refusal slow() {
         return Refusal.notRun(REQUEST_TIMEOUT, "slow_sender", "The request did not come in time.");
     }
--- a/node/src/main/java/org/fuchsiadeck/node/front/CallerResponse.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerResponse.java
@@ -7,6 +7,7 @@
 import java.util.function.BooleanSupplier;
 
 import org.fuchsiadeck.core.model.RequestId;
+import org.fuchsiadeck.node.exchange.ByteBudget;
 import org.fuchsiadeck.node.exchange.CallerChannel;
 import org.fuchsiadeck.node.exchange.Refusal;
 import org.fuchsiadeck.node.exchange.WholeAnswer;
@@ -23,7 +24,7 @@
  */
 final class CallerResponse implements CallerChannel {
     private static final int FULL_BYTES = 32 << 10;
-    private static final int DRAINED_BYTES = FULL_BYTES / 2;
+    private static final int TIGHT_FULL_BYTES = 4 << 10;
     private static final int OK = 200;
 
     private final Response response;
@@ -31,8 +32,11 @@
     private final RequestId id;
     private final Executor pump;
     private final BooleanSupplier draining;
+    private final ByteBudget budget;
+    private final ByteBudget.Account reading;
+    private final ByteBudget.Account writing;
     private ByteArrayOutputStream waiting = new ByteArrayOutputStream();
-    private Head head;
+    private ResponseHead head;
     private boolean headWritten;
     private boolean ending;
     private boolean finished;
@@ -40,6 +44,7 @@
     private boolean wasFull;
     private long blockedNanos;
     private int blockedBytes;
+    private int unwrittenBytes;
     private Runnable drained = () -> {};
 
     /**
@@ -50,21 +55,29 @@
      * @param id the request's id
      * @param pump runs the writes
      * @param draining whether to close the connection after the answer
+     * @param budget counts the bytes that wait here
      */
-    CallerResponse(Response response, Connection<?> connection, RequestId id, Executor pump, BooleanSupplier draining) {
+    CallerResponse(
+            Response response,
+            Connection<?> connection,
+            RequestId id,
+            Executor pump,
+            BooleanSupplier draining,
+            ByteBudget budget) {
         this.response = response;
         this.connection = connection;
         this.id = id;
         this.pump = pump;
         this.draining = draining;
+        this.budget = budget;
+        this.reading = budget.open();
+        this.writing = budget.open();
     }
 
-    private record Head(int status, String contentType, Refusal refusal, boolean close) {}
-
     @Override
     public synchronized void answer(WholeAnswer answer) {
         if (head == null && !ending) {
-            head = new Head(answer.status(), answer.contentType().orElse(null), null, false);
+            head = new ResponseHead(answer.status(), answer.contentType().orElse(null), null, false);
             finish(answer.bytes());
         }
     }
@@ -72,7 +85,7 @@
     @Override
     public synchronized void startStream() {
         if (head == null && !ending) {
-            head = new Head(OK, "text/event-stream", null, false);
+            head = new ResponseHead(OK, "text/event-stream", null, false);
             schedule();
         }
     }
@@ -83,7 +96,8 @@
             return;
         }
         waiting.writeBytes(event);
-        wasFull = wasFull || waiting.size() > FULL_BYTES;
+        count();
+        wasFull = wasFull || full();
         schedule();
     }
 
@@ -114,7 +128,7 @@
             finish(RefusalWriter.event(refusal, id.value()));
             return;
         }
-        head = new Head(refusal.status(), "application/json", refusal, close);
+        head = new ResponseHead(refusal.status(), "application/json", refusal, close);
         finish(RefusalWriter.json(refusal, id.value()));
     }
 
@@ -132,7 +146,7 @@
 
     @Override
     public synchronized boolean full() {
-        return waiting.size() > FULL_BYTES;
+        return waiting.size() > fullBytes();
     }
 
     @Override
@@ -145,6 +159,23 @@
         ending = true;
         finished = true;
         waiting = new ByteArrayOutputStream();
+        flushed();
+    }
+
+    /** Notes that the last byte of the answer was written. */
+    void flushed() {
+        reading.close();
+        writing.close();
+    }
+
+    /** Counts bytes of the request's body before they are kept. Returns false if the node has no room for them. */
+    boolean takeBody(int bytes) {
+        return reading.take(bytes);
+    }
+
+    /** Notes that the body of the request is no longer kept here. */
+    void bodyPassedOn() {
+        reading.close();
     }
 
     /** Tells whether a final answer was given, though it may not be written yet. */
@@ -161,10 +192,19 @@
 
     private void finish(byte[] last) {
         waiting.writeBytes(last);
+        count();
         ending = true;
         schedule();
     }
 
+    private void count() {
+        writing.set(waiting.size() + (long) unwrittenBytes);
+    }
+
+    private int fullBytes() {
+        return budget.isTight() ? TIGHT_FULL_BYTES : FULL_BYTES;
+    }
+
     private void schedule() {
         if (!scheduled && !finished) {
             scheduled = true;
@@ -189,6 +229,10 @@
         boolean last;
         boolean first;
         synchronized (this) {
+            if (!finished && unwrittenBytes > 0 && out.canWrite()) {
+                unwrittenBytes = 0;
+                count();
+            }
             if (finished || waiting.size() == 0 && !ending && headWritten) {
                 scheduled = false;
                 return false;
@@ -203,12 +247,14 @@
             last = ending;
             blockedNanos = last ? System.nanoTime() : 0;
             blockedBytes = batch.length;
+            unwrittenBytes = batch.length;
+            count();
             finished = last;
             first = !headWritten;
             headWritten = true;
         }
         if (first) {
-            writeHead(last ? batch.length : -1);
+            head.write(response, id, last ? batch.length : -1, draining.getAsBoolean());
         }
         out.write(Buffers.wrap(MemoryManager.DEFAULT_MEMORY_MANAGER, batch));
         if (last) {
@@ -219,34 +265,10 @@
         return true;
     }
 
-    private void writeHead(int length) {
-        response.setStatus(head.status());
-        response.setHeader(CallerHeaders.REQUEST_ID, id.value());
-        if (head.contentType() != null) {
-            response.setContentType(head.contentType());
-        }
-        if (length >= 0) {
-            response.setContentLength(length);
-        }
-        if (head.close() || draining.getAsBoolean()) {
-            response.setHeader("Connection", "close");
-        }
-        if (head.refusal() != null) {
-            writeOutcome(head.refusal());
-        }
-    }
-
-    private void writeOutcome(Refusal refusal) {
-        response.setHeader("X-Outcome", RefusalWriter.name(refusal.outcome()));
-        if (refusal.retryAfterMs() > 0) {
-            response.setHeader("Retry-After", RefusalWriter.retryAfter(refusal));
-        }
-    }
-
     private void runDrained() {
         Runnable action;
         synchronized (this) {
-            if (!wasFull || waiting.size() > DRAINED_BYTES) {
+            if (!wasFull || waiting.size() > fullBytes() / 2) {
                 return;
             }
             wasFull = false;
--- a/node/src/main/java/org/fuchsiadeck/node/front/CompletionReader.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CompletionReader.java
@@ -14,9 +14,11 @@
  * Reads what a caller asks of a model.
  *
  * @param completion what is asked
+ * @param tokenLimit most tokens of the answer, as the caller names it; the greatest number if it names none, since the
+ *     engine decides then
  * @param stream whether the answer is to be streamed
  */
-record CompletionReader(Completion completion, boolean stream) {
+record CompletionReader(Completion completion, int tokenLimit, boolean stream) {
     private static final ObjectMapper JSON = JsonMapper.builder()
             .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
             .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
@@ -40,7 +42,8 @@
         PromptPrefix.Result prefix = PromptPrefix.of(prompt);
         Completion completion =
                 new Completion(model, text(json, "adapter"), prefix.hashes(), prefix.words(), maxTokens(json));
-        return new CompletionReader(completion, stream(json));
+        int limit = json.has("max_tokens") ? completion.maxTokens() : Integer.MAX_VALUE;
+        return new CompletionReader(completion, limit, stream(json));
     }
 
     private static JsonNode parse(byte[] body) throws BadCallException {
--- a/node/src/main/java/org/fuchsiadeck/node/front/ConnectionGuard.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/ConnectionGuard.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
+import org.fuchsiadeck.node.exchange.ByteBudget;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
@@ -21,14 +22,19 @@
 
     private static final long IDLE_MS = 60_000;
 
+    /** A caller who takes nothing for this long is given up while the node holds too many bytes. */
+    private static final long TIGHT_STUCK_MS = 2_000;
+
     private final Set<Connection<?>> open = ConcurrentHashMap.newKeySet();
     private final int maxConnections;
     private final long slowMs;
+    private final ByteBudget budget;
     private volatile boolean draining;
 
-    ConnectionGuard(int maxConnections, long slowMs) {
+    ConnectionGuard(int maxConnections, long slowMs, ByteBudget budget) {
         this.maxConnections = maxConnections;
         this.slowMs = slowMs;
+        this.budget = budget;
     }
 
     @Override
@@ -80,5 +86,8 @@
 
     void sweep() {
         open.forEach(c -> CallerConnection.of(c).sweep(slowMs, IDLE_MS));
+        if (budget.isTight()) {
+            open.forEach(c -> CallerConnection.of(c).sweepTight(Math.min(slowMs, TIGHT_STUCK_MS)));
+        }
     }
 }
--- a/node/src/main/java/org/fuchsiadeck/node/front/Front.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/Front.java
@@ -7,6 +7,7 @@
 import org.fuchsiadeck.core.config.Configuration;
 import org.fuchsiadeck.core.model.Address;
 import org.fuchsiadeck.core.model.NodeId;
+import org.fuchsiadeck.node.exchange.ByteBudget;
 import org.fuchsiadeck.node.exchange.Exchanges;
 import org.fuchsiadeck.node.run.EffectHandler;
 import org.fuchsiadeck.node.run.EventSink;
@@ -20,6 +21,7 @@
  * @param node the node's id
  * @param address where it listens
  * @param limits what it takes from callers
+ * @param budget counts the bytes held for callers
  * @param exchanges takes the requests in progress
  * @param events takes what callers do
  * @param configuration gives the configuration in force
@@ -30,6 +32,7 @@
         NodeId node,
         Address address,
         Limits limits,
+        ByteBudget budget,
         Exchanges exchanges,
         EventSink events,
         Supplier<Configuration> configuration,
@@ -39,6 +42,7 @@
         requireNonNull(node, "node");
         requireNonNull(address, "address");
         requireNonNull(limits, "limits");
+        requireNonNull(budget, "budget");
         requireNonNull(exchanges, "exchanges");
         requireNonNull(events, "events");
         requireNonNull(configuration, "configuration");
--- a/node/src/main/java/org/fuchsiadeck/node/operator/DumpJson.java
+++ b/node/src/main/java/org/fuchsiadeck/node/operator/DumpJson.java
@@ -4,6 +4,7 @@
 import java.util.TreeMap;
 
 import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -15,6 +16,9 @@
  * Writes a dump in the order of operators' questions: what is set, who is there, what is in progress, and why.
  */
 public final class DumpJson {
+    /** The gauge of the bytes held for callers. */
+    public static final String BUFFERED_BYTES = "front.buffered_bytes";
+
     private static final String PLATFORM_PREFIX = "platform.";
 
     private DumpJson() {}
@@ -69,6 +73,9 @@
     private static ObjectNode budgets(DumpSource source) {
         ObjectNode json = JsonNodeFactory.instance.objectNode();
         json.put("retries_left", source.state().requests().budget().retries());
+        Gauge<?> buffered = source.metrics().getGauges().get(BUFFERED_BYTES);
+        json.set("buffered_bytes", StateJson.of(buffered == null ? 0 : buffered.getValue()));
+        json.put("max_buffered_bytes", source.settings().limits().maxBufferedBytes());
         ObjectNode platform = json.putObject("platform");
         for (Map.Entry<String, Counter> counter : source.metrics().getCounters().entrySet()) {
             if (counter.getKey().startsWith(PLATFORM_PREFIX)) {
--- a/node/src/main/java/org/fuchsiadeck/node/settings/SettingsFile.java
+++ b/node/src/main/java/org/fuchsiadeck/node/settings/SettingsFile.java
@@ -91,8 +91,10 @@
         int answer = keys.smallNumber("limits.max_answer_bytes", absent.maxAnswerBytes());
         long slow = keys.number("limits.slow_sender_timeout_ms", absent.slowSenderTimeoutMs());
         int connections = keys.smallNumber("limits.max_connections", absent.maxConnections());
+        int streams = keys.smallNumber("limits.max_streams", absent.maxStreams());
+        int buffered = keys.smallNumber("limits.max_buffered_bytes", absent.maxBufferedBytes());
         try {
-            return new Limits(body, header, answer, slow, connections);
+            return new Limits(body, header, answer, slow, connections, streams, buffered);
         } catch (IllegalArgumentException e) {
             String name = e.getMessage().substring(0, e.getMessage().indexOf(' '));
             throw new SettingsException("limits." + name, e.getMessage());
--- a/node/src/test/java/org/fuchsiadeck/node/backend/AttemptTest.java
+++ b/node/src/test/java/org/fuchsiadeck/node/backend/AttemptTest.java
@@ -19,6 +19,7 @@
 import org.fuchsiadeck.core.model.RequestId;
 import org.fuchsiadeck.core.model.TeamId;
 import org.fuchsiadeck.core.request.CallerRequest;
+import org.fuchsiadeck.core.request.Failure;
 import org.fuchsiadeck.core.request.Failure.Kind;
 import org.fuchsiadeck.core.request.Failure.Step;
 import org.fuchsiadeck.core.request.RequestEffect.Dispatch;
@@ -28,8 +29,10 @@
 import org.fuchsiadeck.core.request.RequestEvent.AttemptFailed;
 import org.fuchsiadeck.core.request.RequestEvent.Writing;
 import org.fuchsiadeck.node.client.HttpClient;
+import org.fuchsiadeck.node.exchange.ByteBudget;
 import org.fuchsiadeck.node.exchange.CallerBody;
 import org.fuchsiadeck.node.exchange.Exchange;
+import org.fuchsiadeck.node.exchange.Room;
 import org.fuchsiadeck.node.testing.Await;
 import org.fuchsiadeck.node.testing.FakeServer;
 import org.fuchsiadeck.node.testing.RecordingChannel;
@@ -53,6 +56,9 @@
     private final List<Event> events = new CopyOnWriteArrayList<>();
     private final MetricRegistry metrics = new MetricRegistry();
     private final RecordingChannel caller = new RecordingChannel();
+    private ByteBudget budget = new ByteBudget(1 << 20);
+    private int maxTokens = Integer.MAX_VALUE;
+    private int maxJournalBytes = 1 << 20;
     private HttpClient client;
     private BackendClient backends;
 
@@ -373,6 +379,55 @@
         }
     }
 
+    @Test
+    void failsAStreamOfMoreTokensThanWereAskedFor() throws Exception {
+        maxTokens = 2;
+        assertThat(failureOfAStream(tokens(0, 1, 2)).detail()).contains("more than the 2 tokens");
+        assertThat(failureOfAStream(tokens(0, 1, 2)).kind()).isEqualTo(Kind.BAD_ANSWER);
+    }
+
+    @Test
+    void failsAStreamWhoseTextIsTooLong() throws Exception {
+        maxJournalBytes = 15;
+        assertThat(failureOfAStream(tokens(0, 1)).detail()).contains("longer than 15 bytes");
+    }
+
+    private Failure failureOfAStream(FakeServer.Script script) throws Exception {
+        events.clear();
+        try (FakeServer server = new FakeServer(script)) {
+            Exchange exchange = exchange("r1", true);
+            dispatch(exchange, 1, server, 0);
+            await(AnswerStarted.class);
+            exchange.relay(1);
+            return await(AttemptFailed.class).failure();
+        }
+    }
+
+    @Test
+    void givesUpALargeAnswerOnlyWhenTheNodeHasNoRoomForIt() throws Exception {
+        String large = "x".repeat(ByteBudget.SMALL_BYTES + 1);
+        backends = new BackendClient(
+                client, events::add, () -> TestNode.CONFIGURATION, log -> {}, metrics, large.length());
+        try (FakeServer server = new FakeServer((m, s) -> FakeServer.plain(m, s, 200, large))) {
+            complete(server, "r1", 0);
+            budget = new ByteBudget(1);
+            events.clear();
+            Exchange exchange = exchange("r2", false);
+            dispatch(exchange, 1, server, 0);
+            assertThat(await(AttemptFailed.class).failure().kind()).isEqualTo(Kind.NO_ROOM);
+            exchange.release();
+            assertThat(budget.held()).isZero();
+        }
+    }
+
+    @Test
+    void takesASmallAnswerThoughTheNodeHasNoRoom() throws Exception {
+        budget = new ByteBudget(1);
+        try (FakeServer server = new FakeServer((m, s) -> FakeServer.plain(m, s, 200, "x".repeat(MAX_ANSWER_BYTES)))) {
+            complete(server, "r1", 0);
+        }
+    }
+
     @Test
     void keepsConnectionsForTheTimeOfTheirZone() throws Exception {
         ExceptionRule rule = new ExceptionRule(
@@ -404,7 +459,8 @@
         CallerRequest call =
                 new CallerRequest("POST", "/assistant", new TeamId("t"), Optional.empty(), 2, stream, Optional.empty());
         CallerBody body = new CallerBody("/assistant", Optional.of("application/json"), "{}".getBytes());
-        return new Exchange(new RequestId(id), call, body, caller, events::add);
+        Room room = new Room(budget, maxJournalBytes, maxTokens);
+        return new Exchange(new RequestId(id), call, body, caller, events::add, room);
     }
 
     private void dispatch(Exchange exchange, int attempt, FakeServer server, long freshMs) {
--- a/node/src/test/java/org/fuchsiadeck/node/settings/SettingsFileTest.java
+++ b/node/src/test/java/org/fuchsiadeck/node/settings/SettingsFileTest.java
@@ -46,11 +46,24 @@
         assertThat(settings.identity().seed()).isEqualTo(7);
         assertThat(settings.peerSeeds()).containsExactly(new Address("127.0.0.1", 4), new Address("127.0.0.1", 5));
         assertThat(settings.limits().maxConnections()).isEqualTo(9);
+        assertThat(settings.limits().maxStreams()).isEqualTo(Limits.DEFAULT.maxStreams());
         assertThat(settings.limits().maxBodyBytes()).isEqualTo(Limits.DEFAULT.maxBodyBytes());
         assertThat(settings.logLevel()).isEqualTo(LogLevel.DEBUG);
         assertThat(settings.router()).isEqualTo(RouterChoice.ROUND_ROBIN);
     }
 
+    @Test
+    void readsHowMuchMayBeHeldForCallers() throws IOException {
+        String more = "max_connections = 9\nmax_streams = 5\nmax_buffered_bytes = 1000000";
+        Limits limits =
+                read(GOOD.replace("max_connections = 9", more)).get().settings().limits();
+        assertThat(limits.maxStreams()).isEqualTo(5);
+        assertThat(limits.maxBufferedBytes()).isEqualTo(1_000_000);
+        String little = more.replace("1000000", "1");
+        assertThat(read(GOOD.replace("max_connections = 9", little)).getLeft().toString())
+                .contains("limits.max_buffered_bytes: ");
+    }
+
     @ParameterizedTest(name = "{1}")
     @CsvSource(
             delimiter = '|',
--- a/node/src/test/java/org/fuchsiadeck/node/testing/TestNode.java
+++ b/node/src/test/java/org/fuchsiadeck/node/testing/TestNode.java
@@ -10,6 +10,7 @@
 import java.util.Queue;
 import java.util.concurrent.CopyOnWriteArrayList;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vavr.control.Either;
 import org.fuchsiadeck.core.Effect;
 import org.fuchsiadeck.core.Event;
@@ -51,7 +52,7 @@
                     route("register", Backend.Kind.APPLICATION, "GET", "/registers/*", true),
                     route("assistant", Backend.Kind.ENGINE, "POST", "/assistant", true)),
             List.of());
-    public static final Limits LIMITS = new Limits(4_096, 8_192, 1 << 20, 400, 50);
+    public static final Limits LIMITS = new Limits(4_096, 8_192, 1 << 20, 400, 50, 40, 64 << 20);
 
     public final Settings settings;
     public final Node node;
@@ -59,16 +60,22 @@
     private final FakeServer list;
 
     public TestNode(FakeServer... servers) throws Exception {
-        this(Arrays.stream(servers)
-                .flatMap(s -> Arrays.stream(Backend.Kind.values()).map(s::as))
-                .map(TestNode::json)
-                .toList());
+        this(LIMITS, servers);
     }
 
-    private TestNode(List<String> backends) throws Exception {
+    public TestNode(Limits limits, FakeServer... servers) throws Exception {
+        this(
+                limits,
+                Arrays.stream(servers)
+                        .flatMap(s -> Arrays.stream(Backend.Kind.values()).map(s::as))
+                        .map(TestNode::json)
+                        .toList());
+    }
+
+    private TestNode(Limits limits, List<String> backends) throws Exception {
         String body = "{\"backends\":[" + String.join(",", backends) + "],\"nodes\":[],\"notices\":[]}";
         this.list = new FakeServer((m, s) -> FakeServer.plain(m, s, 200, body));
-        this.settings = settings(list.address());
+        this.settings = settings(list.address(), limits);
         Parts standard = Parts.standard();
         Parts parts =
                 new Parts(this::reduce, s -> CONFIGURATION, s -> List.of(), standard.platform(), standard.peers());
@@ -80,6 +87,16 @@
                 () -> events.stream().anyMatch(e -> e instanceof org.fuchsiadeck.core.platform.PlatformEvent.Listed));
     }
 
+    /** Returns a gauge as operators see it. */
+    public long gauge(String name) throws IOException {
+        try (Caller operator = new Caller(settings.operators())) {
+            String text = operator.get("/metrics", "Authorization: Bearer secret-word")
+                    .answer()
+                    .text();
+            return new ObjectMapper().readTree(text).path("gauges").path(name).asLong(-1);
+        }
+    }
+
     public Caller caller() throws IOException {
         return new Caller(settings.callers());
     }
@@ -119,6 +136,10 @@
     }
 
     public static Settings settings(Address list) {
+        return settings(list, LIMITS);
+    }
+
+    private static Settings settings(Address list, Limits limits) {
         return new Settings(
                 new Identity(new NodeId("n1"), new Zone("dumdum"), Sockets.freeAddress(), 1),
                 Sockets.freeAddress(),
@@ -132,7 +153,7 @@
                 2_000,
                 LogLevel.INFO,
                 Optional.empty(),
-                LIMITS,
+                limits,
                 RouterChoice.BETTER_OF_TWO);
     }
 
