--- a/core/src/main/java/org/fuchsiadeck/core/request/Waiting.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Waiting.java
@@ -47,7 +47,7 @@
             Ending.refuse(turn, exchange, new Refusal("wait_too_long", comeBack(turn, service)));
             return;
         }
-        if (queue.size() >= turn.policy().queueLimit() && !evictLast(turn, service, ticket)) {
+        if (queue.size() >= Policies.of(turn, exchange).queueLimit() && !evictLast(turn, service, ticket)) {
             Ending.refuse(turn, exchange, new Refusal("queue_full", comeBack(turn, service)));
             return;
         }
@@ -126,7 +126,7 @@
         String service = exchange.route().service();
         turn.state(turn.state().withQueue(service, queue(turn, service).joined(ticket)));
         turn.keep(exchange.queued(ticket));
-        turn.decide(exchange.id(), Decision.Kind.QUEUED, Optional.empty(), "all servers are full");
+        turn.decide(exchange, Decision.Kind.QUEUED, Optional.empty(), "all servers are full");
     }
 
     private static FairQueue queue(Turn turn, String service) {
