Look policies up once, and without a map where no exception is in force

Cause: each lookup built the key twice and searched the table twice, also without any exception.

Change: PolicyTable.find answers from the policy of all subjects if no exception names a component, and else with one search; a team is looked for without a stream.

--- a/core/src/main/java/org/fuchsiadeck/core/config/PolicyTable.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/PolicyTable.java
@@ -5,6 +5,7 @@
 
 import io.vavr.collection.HashMap;
 import io.vavr.collection.Map;
+import io.vavr.control.Option;
 
 import static java.util.Objects.requireNonNull;
 
@@ -16,10 +17,16 @@
  * @param fromWallMs the earliest wall-clock time for which the table holds, in milliseconds since 1970
  * @param untilWallMs the time from which it no longer holds, in milliseconds since 1970
  * @param keys the components of a subject that the exceptions match by
+ * @param base the policy of a subject of which nothing is known
  * @param resolved the policies by subject, with the components that no exception matches by left empty
  */
 public record PolicyTable(
-        Configuration config, long fromWallMs, long untilWallMs, Set<String> keys, Map<Subject, Policy> resolved) {
+        Configuration config,
+        long fromWallMs,
+        long untilWallMs,
+        Set<String> keys,
+        Policy base,
+        Map<Subject, Policy> resolved) {
     /** The table of no configuration. */
     public static final PolicyTable EMPTY = of(Configuration.NONE, 0);
 
@@ -28,6 +35,7 @@
     public PolicyTable {
         requireNonNull(config, "config");
         keys = Set.copyOf(keys);
+        requireNonNull(base, "base");
         requireNonNull(resolved, "resolved");
     }
 
@@ -50,7 +58,8 @@
             until = Math.min(until, rule.expiresWallMs().orElse(Long.MAX_VALUE));
             keys.addAll(rule.match().keySet());
         }
-        return new PolicyTable(config, from, until, keys, HashMap.empty());
+        Policy base = config.policyFor(Subject.NONE, wallMs);
+        return new PolicyTable(config, from, until, keys, base, HashMap.empty());
     }
 
     /**
@@ -66,30 +75,25 @@
     }
 
     /**
-     * Adds the policy of a subject, unless it is there.
+     * Finds the policy of a subject.
      *
      * @param subject the subject
-     * @return the table; {@link #policy} finds the subject in it
+     * @return the values in force for it; none if the table has to be asked by {@link #with} first
      */
-    public PolicyTable with(Subject subject) {
-        Subject key = subject.only(keys);
-        if (resolved.containsKey(key)) {
-            return this;
-        }
-        Map<Subject, Policy> kept = resolved.size() < MAX_RESOLVED ? resolved : HashMap.empty();
-        long wallMs = fromWallMs;
-        Map<Subject, Policy> next = kept.put(key, config.policyFor(key, wallMs));
-        return new PolicyTable(config, fromWallMs, untilWallMs, keys, next);
+    public Option<Policy> find(Subject subject) {
+        return keys.isEmpty() ? Option.some(base) : resolved.get(subject.only(keys));
     }
 
     /**
-     * Returns the policy of a subject.
+     * Adds the policy of a subject.
      *
      * @param subject the subject
-     * @return the values in force for it
+     * @return the table in which {@link #find} finds it
      */
-    public Policy policy(Subject subject) {
+    public PolicyTable with(Subject subject) {
         Subject key = subject.only(keys);
-        return resolved.get(key).getOrElse(() -> config.policyFor(key, fromWallMs));
+        Map<Subject, Policy> kept = resolved.size() < MAX_RESOLVED ? resolved : HashMap.empty();
+        Map<Subject, Policy> next = kept.put(key, config.policyFor(key, fromWallMs));
+        return new PolicyTable(config, fromWallMs, untilWallMs, keys, base, next);
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/request/Policies.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Policies.java
@@ -44,8 +44,12 @@
 
     private static Subject caller(Turn turn, Subject subject, Exchange exchange) {
         TeamId team = exchange.call().team();
-        boolean known = turn.view().config().teams().stream().anyMatch(t -> t.id().equals(team));
-        return known ? subject.forTeam(team) : subject;
+        for (Team known : turn.view().config().teams()) {
+            if (known.id().equals(team)) {
+                return subject.forTeam(team);
+            }
+        }
+        return subject;
     }
 
     static Team team(View view, TeamId id) {
--- a/core/src/main/java/org/fuchsiadeck/core/request/Turn.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Turn.java
@@ -62,11 +62,13 @@
 
     /** Returns the values in force for a subject. */
     Policy policy(Subject subject) {
-        PolicyTable table = state.policies().at(view.config(), view.wallMs()).with(subject);
-        if (table != state.policies()) {
-            state = state.with(table);
+        PolicyTable table = state.policies().at(view.config(), view.wallMs());
+        Option<Policy> known = table.find(subject);
+        PolicyTable next = known.isDefined() ? table : table.with(subject);
+        if (next != state.policies()) {
+            state = state.with(next);
         }
-        return table.policy(subject);
+        return known.getOrElse(() -> next.find(subject).get());
     }
 
     RequestState state() {
--- a/core/src/test/java/org/fuchsiadeck/core/config/PolicyTableTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/config/PolicyTableTest.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.OptionalLong;
 
+import io.vavr.control.Option;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -29,10 +30,18 @@
         PolicyTable table = PolicyTable.EMPTY;
         for (long wallMs : new long[] {first, second, first}) {
             table = table.at(CONFIG, wallMs).with(subject);
-            assertThat(table.policy(subject)).isEqualTo(CONFIG.policyFor(subject, wallMs));
+            assertThat(table.find(subject)).contains(CONFIG.policyFor(subject, wallMs));
         }
     }
 
+    @Test
+    void appliesAnExceptionThatMatchesEverything() {
+        ExceptionRule all = new ExceptionRule("for all", Map.of(), Map.of("weight", 7L), OptionalLong.empty());
+        Configuration config = new Configuration(1, Policy.DEFAULT, List.of(all), List.of(), List.of());
+        Option<Policy> found = PolicyTable.EMPTY.at(config, 0).find(Subject.NONE);
+        assertThat(found.get().weight()).isEqualTo(7);
+    }
+
     @Test
     void keepsOnePolicyForSubjectsThatNoExceptionTellsApart() {
         PolicyTable table = PolicyTable.EMPTY.at(CONFIG, 0);
--- a/node/src/main/java/org/fuchsiadeck/node/backend/ConnectionAges.java
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/ConnectionAges.java
@@ -54,8 +54,9 @@
     }
 
     private long maxMs(Subject subject) {
-        PolicyTable table = policies.at(configuration.get(), wallMs.getAsLong()).with(subject);
-        policies = table;
-        return table.policy(subject).connectionMaxAgeMs();
+        PolicyTable table = policies.at(configuration.get(), wallMs.getAsLong());
+        PolicyTable next = table.find(subject).isDefined() ? table : table.with(subject);
+        policies = next;
+        return next.find(subject).get().connectionMaxAgeMs();
     }
 }
