Work out capacity from measured slopes

Ruled out: JMH for the reducer. It forks a process for each size, and the heap and wire parts need another tool anyway. Wall-clock times: the machine is shared, so processor time of the thread and of the processes is taken; contention for caches still shows in it. Sums of socket counters over all links: links close about 60 s after a quiet second, so that the sums went down; differences are taken for each link instead.

Change: 'fuchsiadeck capacity' feeds the node's reducer through its public entrance at three or more sizes and prints processor time, allocation, heap and frame lengths as points or fitted lines.

--- a/cli/src/main/java/org/fuchsiadeck/cli/Main.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/Main.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.function.ToIntFunction;
 
+import org.fuchsiadeck.cli.capacity.CapacityCommand;
 import org.fuchsiadeck.cli.config.ApplyCommand;
 import org.fuchsiadeck.cli.config.DiffCommand;
 import org.fuchsiadeck.cli.config.ExplainCommand;
@@ -63,6 +64,7 @@
         out.put("members", new MembersCommand(operator));
         out.put("dump", new DumpCommand(operator));
         out.putAll(LoadCommand.all());
+        out.put("capacity", new CapacityCommand());
         out.put("node", new NodeCommand(NODE));
         out.put("testbed", new TestbedCommand(TESTBED));
         return out;
