--- a/core/src/main/java/org/fuchsiadeck/core/rollout/RolloutState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/RolloutState.java
@@ -1,5 +1,6 @@
 package org.fuchsiadeck.core.rollout;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -87,7 +88,7 @@
         for (Backend b : listed) {
             if (!b.leaving()) {
                 ServiceVersion v = new ServiceVersion(b.service(), b.version());
-                next.merge(v, List.of(b.id()), RolloutState::join);
+                next.computeIfAbsent(v, k -> new ArrayList<>()).add(b.id());
             }
         }
         return next.equals(servers)
@@ -167,10 +168,4 @@
         String key = r.service() + "/" + r.number();
         return Set.copyOf(Rendezvous.rank(key, all, BackendId::value).subList(0, few));
     }
-
-    private static List<BackendId> join(List<BackendId> a, List<BackendId> b) {
-        List<BackendId> all = new java.util.ArrayList<>(a);
-        all.addAll(b);
-        return all;
-    }
 }
