Pass long answers through the proxy whole; close only idle links between nodes

Cause: nodes behind the proxy never became ready with 4,100 workers: answers were cut at 100,352 bytes. A write makes the proxy's queue pump again before it returns; the queue still held the slice just taken, and lost the next one. A shutdown of output also dropped bytes that were not out yet. Between nodes, a link was closed for idleness 60 s after a quiet heartbeat although it had been used since. Ruled out: the target's close (the first try, waiting for the last write before the shutdown, still gave 100,352 bytes). Change: the queue is in order before the write; the end waits for the last write; an idle link is closed only if nothing was written since, and without a back-off. Figures: FaultProxyTest.passesALongAnswerWhole..., 4 MiB: 100,352 bytes before, all after. The idle link has no test of its own: its wait is 60 s. Conclusion: the proxy no longer adds a fault that was not asked for.

--- a/node/src/main/java/org/fuchsiadeck/node/peer/Outbound.java
+++ b/node/src/main/java/org/fuchsiadeck/node/peer/Outbound.java
@@ -40,6 +40,7 @@
     private boolean acknowledged;
     private boolean writtenSinceHeartbeat;
     private boolean heartbeatRunning;
+    private long writes;
 
     private enum Phase {
         CLOSED,
@@ -119,6 +120,7 @@
         if (wrote) {
             channel.flush();
             writtenSinceHeartbeat = true;
+            writes++;
             heartbeat(channel);
         }
     }
@@ -144,7 +146,8 @@
         } else if (writtenSinceHeartbeat) {
             heartbeat(on);
         } else {
-            loop.schedule(() -> closeIfIdle(on), IDLE_MS, TimeUnit.MILLISECONDS);
+            long seen = writes;
+            loop.schedule(() -> closeIfIdle(on, seen), IDLE_MS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -156,8 +159,9 @@
         proceed();
     }
 
-    private void closeIfIdle(Channel on) {
-        if (on == channel && !heartbeatRunning) {
+    private void closeIfIdle(Channel on, long seen) {
+        if (on == channel && phase == Phase.OPEN && writes == seen) {
+            phase = Phase.CLOSED;
             on.close();
         }
     }
--- a/testbed/src/main/java/org/fuchsiadeck/testbed/proxy/Link.java
+++ b/testbed/src/main/java/org/fuchsiadeck/testbed/proxy/Link.java
@@ -71,9 +71,13 @@
         return way == TO_TARGET ? target : caller;
     }
 
+    private Channel from(Direction way) {
+        return way == TO_TARGET ? caller : target;
+    }
+
     /** Starts or stops reading the bytes of a direction at their source. */
     void read(Direction way, boolean on) {
-        Channel from = way == TO_TARGET ? caller : target;
+        Channel from = from(way);
         if (from != null && from.config().isAutoRead() != on) {
             from.config().setAutoRead(on);
         }
@@ -114,8 +118,9 @@
         onClosed.accept(this);
     }
 
-    void directionEnded() {
-        if (toTarget.hasEnded() && toCaller.hasEnded()) {
+    void directionEnded(Direction way) {
+        boolean sourceClosed = !from(way).isActive();
+        if (sourceClosed || toTarget.hasEnded() && toCaller.hasEnded()) {
             close();
         }
     }
--- a/testbed/src/main/java/org/fuchsiadeck/testbed/proxy/Pipe.java
+++ b/testbed/src/main/java/org/fuchsiadeck/testbed/proxy/Pipe.java
@@ -8,6 +8,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.socket.DuplexChannel;
 
 /**
@@ -43,6 +44,10 @@
 
     private boolean ended;
 
+    private boolean finished;
+
+    private ChannelFuture lastWrite;
+
     Pipe(Direction way, Link link, Supplier<ProxyFaults> faults, Counters counters) {
         this.way = way;
         this.link = link;
@@ -50,8 +55,9 @@
         this.counters = counters;
     }
 
+    /** Tells whether all bytes and the end went through. */
     boolean hasEnded() {
-        return ended;
+        return finished;
     }
 
     boolean isSilent() {
@@ -124,13 +130,13 @@
         }
         ByteBuf data = item.data;
         int n = passable(data.readableBytes());
-        if (n > 0) {
-            write(data.readRetainedSlice(n));
-        }
+        ByteBuf part = data.readRetainedSlice(n);
         if (!data.isReadable()) {
             queue.remove();
             data.release();
         }
+        // A write may call pump again before it returns, so the queue is in order by now.
+        write(part);
         long limit = faults.get().cutAfter(way);
         if (limit > 0 && passedBytes >= limit) {
             link.cut();
@@ -155,13 +161,23 @@
         queuedBytes -= n;
         passedBytes += n;
         counters.passed(way, n);
-        link.to(way).writeAndFlush(part);
+        lastWrite = link.to(way).writeAndFlush(part);
     }
 
+    /** Ends the direction once the bytes before the end are out: a shutdown drops what is still to be written. */
     private void end() {
         ended = true;
+        if (lastWrite == null) {
+            finish();
+        } else {
+            lastWrite.addListener(f -> finish());
+        }
+    }
+
+    private void finish() {
+        finished = true;
         ((DuplexChannel) link.to(way)).shutdownOutput();
-        link.directionEnded();
+        link.directionEnded(way);
     }
 
     private void plan(long waitNs) {
--- a/testbed/src/test/java/org/fuchsiadeck/testbed/proxy/FaultProxyTest.java
+++ b/testbed/src/test/java/org/fuchsiadeck/testbed/proxy/FaultProxyTest.java
@@ -1,6 +1,7 @@
 package org.fuchsiadeck.testbed.proxy;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -96,6 +97,22 @@
         }
     }
 
+    @Test
+    void passesALongAnswerWholeThatItsServerClosesAfter() throws IOException {
+        Pair pair = connect();
+        byte[] answer = new byte[4 << 20];
+        Thread sender = new Thread(() -> {
+            try {
+                pair.server.getOutputStream().write(answer);
+                pair.server.close();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+        sender.start();
+        assertThat(pair.caller.getInputStream().readAllBytes()).hasSize(answer.length);
+    }
+
     @Test
     void passesBytesAndClosingsBothWays() throws IOException {
         Pair pair = connect();
