Bench the verdict rules on seeded streams of attempts

Ruled out: judging them on processes alone (minutes a run, so few runs). Change: fuchsiadeck load verdicts, with cases for each kind of fault and for good versions under noise.

--- a/cli/src/main/java/org/fuchsiadeck/cli/load/LoadCommand.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/load/LoadCommand.java
@@ -73,6 +73,7 @@
         Map<String, Command> commands = new LinkedHashMap<>();
         commands.put("send", new SendCommand());
         commands.put("load", new LoadCommand());
+        commands.put("verdicts", new VerdictCommand());
         commands.put("experiment plan", new PlanCommand());
         commands.put("experiment table", new TableCommand());
         return commands;
--- a/core/src/main/java/org/fuchsiadeck/core/rollout/Judge.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/Judge.java
@@ -8,20 +8,31 @@
  * Applies a rule to all that is known of a rollout: to the whole of it, and to the recent part, since some faults show
  * late.
  */
-final class Judge {
+public final class Judge {
     private Judge() {}
 
-    static Judgement judge(VerdictRule rule, RolloutState state, long nowMs, Rollout rollout) {
-        Evidence total = merge(state, rollout, nowMs, true);
+    /**
+     * Judges the whole and the recent evidence of a rollout.
+     *
+     * @param rule the rule
+     * @param rollout the rollout
+     * @param total what was seen since the rollout began
+     * @param recent what was seen lately
+     * @return the verdict; bad if either part is bad
+     */
+    public static Judgement judge(VerdictRule rule, Rollout rollout, Evidence total, Evidence recent) {
         Judgement whole = rule.judge(rollout, total);
         if (whole.verdict() == Verdict.BAD) {
             return whole;
         }
-        Evidence recent = merge(state, rollout, nowMs, false);
         Judgement late = rule.judge(rollout, baseline(rollout, total).plus(only(rollout.newVersion(), recent)));
         return late.verdict() == Verdict.BAD ? late : whole;
     }
 
+    static Judgement judge(VerdictRule rule, RolloutState state, long nowMs, Rollout rollout) {
+        return judge(rule, rollout, merge(state, rollout, nowMs, true), merge(state, rollout, nowMs, false));
+    }
+
     static Evidence merge(RolloutState state, Rollout rollout, long nowMs, boolean whole) {
         Evidence sum = state.own()
                 .get(rollout.service())
