Write a service's moves where its evidence is gathered; end conflicts of condemned and done

The node that wrote steps forward was ranked by the book's key, the evidence went to two others ranked by the service. Steps forward were decided on one node's own evidence; with 6 answers of the new version on each of 5 nodes a good version was taken back for too little evidence (evidenceOfAllNodesCountsForAStepForward). 2.

Change: each service's first aggregator writes its moves and condemnations; the book keeps the number of the rollout in which a version took over (a line taken_over, one for each version that took over); DONE may still become TAKEN_BACK. Ruled out for 1: sending the evidence to a third node, which costs every node another message each tick.

--- a/core/src/main/java/org/fuchsiadeck/core/rollout/BookKeeper.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/BookKeeper.java
@@ -143,15 +143,25 @@
         return new Step<>(told.state().withSaved(book, revision), out);
     }
 
+    /** Returns the saved book with this node's changes: those of the services that it aggregates first. */
     private static Optional<RolloutBook> wanted(RolloutState state, View view, Function<Rollout, Judgement> judge) {
-        RolloutBook book = state.book();
+        RolloutBook book = state.saved();
+        for (Condemnation found : state.book().condemned().values()) {
+            book = mine(view, found.version().service()) ? book.with(found) : book;
+        }
         for (Rollout rollout : state.book().rollouts().values()) {
-            Optional<Rollout> moved = Pace.next(state, view, rollout, judge);
-            book = moved.isPresent() ? book.with(moved.get()) : book;
+            if (mine(view, rollout.service())) {
+                Optional<Rollout> moved = Pace.next(state, view, rollout, judge);
+                book = moved.isPresent() ? book.with(moved.get()) : book;
+            }
         }
-        boolean unsaved = !book.equals(state.saved());
-        boolean mine =
-                RolloutGossip.aggregators(view, KEY).get(0).equals(view.self().id());
-        return unsaved && mine ? Optional.of(book) : Optional.empty();
+        return book.equals(state.saved()) ? Optional.empty() : Optional.of(book);
+    }
+
+    /** Tells whether this node writes what becomes of a service. It is one that the others' evidence reaches. */
+    private static boolean mine(View view, String service) {
+        return RolloutGossip.aggregators(view, service)
+                .get(0)
+                .equals(view.self().id());
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/rollout/BookText.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/BookText.java
@@ -8,8 +8,8 @@
 import org.fuchsiadeck.core.model.VersionShares.ServiceVersion;
 
 /**
- * The text form of a {@link RolloutBook}, as the platform's service keeps it: one line for each rollout, move and
- * condemned version, with named fields.
+ * The text form of a {@link RolloutBook}, as the platform's service keeps it: one line for each rollout, move,
+ * condemned version and version that took over, with named fields.
  */
 public final class BookText {
     private BookText() {}
@@ -27,6 +27,7 @@
             rollout.moves().forEach(m -> out.append(moveLine(rollout.service(), m)));
         }
         book.condemned().values().forEach(c -> out.append(condemnedLine(c)));
+        book.takenOver().forEach((version, number) -> out.append(takenOverLine(version, number)));
         return out.toString();
     }
 
@@ -58,6 +59,7 @@
             case "rollout" -> book.with(rollout(f));
             case "move" -> book.with(moved(book, f));
             case "condemned" -> book.with(condemned(f));
+            case "taken_over" -> book.withTakenOver(version(f), f.number("number"));
             default -> throw new IllegalArgumentException("unknown entry " + parts[0]);
         };
     }
@@ -96,8 +98,11 @@
     }
 
     private static Condemnation condemned(Fields f) {
-        ServiceVersion version = new ServiceVersion(f.text("service"), f.text("version"));
-        return new Condemnation(version, f.number("number"), f.text("reason"));
+        return new Condemnation(version(f), f.number("number"), f.text("reason"));
+    }
+
+    private static ServiceVersion version(Fields f) {
+        return new ServiceVersion(f.text("service"), f.text("version"));
     }
 
     private static String rolloutLine(Rollout r) {
@@ -129,6 +134,13 @@
                 + "\n";
     }
 
+    private static String takenOverLine(ServiceVersion version, long number) {
+        return "taken_over service=" + escape(version.service())
+                + " version=" + escape(version.version())
+                + " number=" + number
+                + "\n";
+    }
+
     private static String escape(String text) {
         return text.replace("%", "%25")
                 .replace(" ", "%20")
--- a/core/src/main/java/org/fuchsiadeck/core/rollout/Pace.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/Pace.java
@@ -20,7 +20,7 @@
     private Pace() {}
 
     static Optional<Rollout> next(RolloutState state, View view, Rollout rollout, Function<Rollout, Judgement> judge) {
-        if (rollout.stage().ended()) {
+        if (rollout.stage() == Stage.TAKEN_BACK) {
             return Optional.empty();
         }
         long now = view.wallMs();
--- a/core/src/main/java/org/fuchsiadeck/core/rollout/RolloutBook.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/RolloutBook.java
@@ -4,19 +4,26 @@
 
 import io.vavr.collection.Map;
 import io.vavr.collection.TreeMap;
+import io.vavr.control.Option;
 import org.fuchsiadeck.core.model.VersionShares.ServiceVersion;
 
 /**
- * What is written down of all rollouts: the latest one of each service, and the condemned versions.
+ * What is written down of all rollouts: the latest one of each service, the condemned versions, and the versions that
+ * took over.
  *
  * @param rollouts the latest rollout of each service
  * @param condemned the condemned versions
+ * @param takenOver the number of the latest earlier rollout in which a version took over; what was found in those
+ *     before it no longer counts
  */
-public record RolloutBook(Map<String, Rollout> rollouts, Map<ServiceVersion, Condemnation> condemned) {
+public record RolloutBook(
+        Map<String, Rollout> rollouts,
+        Map<ServiceVersion, Condemnation> condemned,
+        Map<ServiceVersion, Long> takenOver) {
     /** Nothing rolled out, nothing condemned. */
-    public static final RolloutBook EMPTY = new RolloutBook(TreeMap.empty(), byName());
+    public static final RolloutBook EMPTY = new RolloutBook(TreeMap.empty(), byName(), byName());
 
-    private static Map<ServiceVersion, Condemnation> byName() {
+    private static <T> Map<ServiceVersion, T> byName() {
         return TreeMap.empty((a, b) -> {
             int order = a.service().compareTo(b.service());
             return order != 0 ? order : a.version().compareTo(b.version());
@@ -24,13 +31,32 @@
     }
 
     /**
-     * Returns the book with a rollout in place of the service's earlier one.
+     * Returns the book with a rollout in place of the service's earlier one. If the earlier one was done, its new version
+     * has taken over.
      *
      * @param rollout the rollout
      * @return the new book
      */
     public RolloutBook with(Rollout rollout) {
-        return new RolloutBook(rollouts.put(rollout.service(), rollout), condemned);
+        Option<Rollout> done =
+                rollouts.get(rollout.service()).filter(r -> r.number() < rollout.number() && r.stage() == Stage.DONE);
+        RolloutBook book = done.isEmpty()
+                ? this
+                : withTakenOver(
+                        new ServiceVersion(rollout.service(), done.get().newVersion()),
+                        done.get().number());
+        return new RolloutBook(book.rollouts.put(rollout.service(), rollout), condemned, book.takenOver);
+    }
+
+    /**
+     * Returns the book with a version that took over.
+     *
+     * @param version the version
+     * @param number the rollout in which it did
+     * @return the new book
+     */
+    RolloutBook withTakenOver(ServiceVersion version, long number) {
+        return new RolloutBook(rollouts, condemned, takenOver.put(version, number, Math::max));
     }
 
     /**
@@ -40,7 +66,7 @@
      * @return the new book
      */
     public RolloutBook with(Condemnation found) {
-        return new RolloutBook(rollouts, condemned.put(found.version(), found, Condemnation::later));
+        return new RolloutBook(rollouts, condemned.put(found.version(), found, Condemnation::later), takenOver);
     }
 
     /**
@@ -68,6 +94,9 @@
     }
 
     private boolean passed(Condemnation found) {
+        if (takenOver.get(found.version()).exists(number -> number > found.number())) {
+            return true;
+        }
         return rollouts.get(found.version().service())
                 .exists(r -> r.newVersion().equals(found.version().version()) && r.number() > found.number());
     }
--- a/core/src/test/java/org/fuchsiadeck/core/rollout/RolloutPropertyTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/rollout/RolloutPropertyTest.java
@@ -87,6 +87,23 @@
         }
     }
 
+    @Property(tries = 10, seed = "20261204")
+    void evidenceOfAllNodesCountsForAStepForward(@ForAll long seed) {
+        World world = new World(seed, false);
+        world.run(STEPS);
+        world.heal();
+        world.run(STEPS);
+        for (int i = 0; i < 6 * NODES; i++) {
+            world.deliver(i % NODES, Rollouts.seen("v1", "notice", Verdict.GOOD, 50));
+            world.deliver(i % NODES, Rollouts.seen("v2", "notice", Verdict.GOOD, 50));
+        }
+        world.run(STEPS);
+        world.wallMs = Rollouts.DUE_MS;
+        world.run(STEPS);
+        assertThat(BookText.read(world.stored).rollouts().get("assistant").get().stage())
+                .isEqualTo(Stage.FULL);
+    }
+
     private static final class World {
         final SplittableRandom random;
         final boolean traffic;
--- a/core/src/test/java/org/fuchsiadeck/core/rollout/Rollouts.java
+++ b/core/src/test/java/org/fuchsiadeck/core/rollout/Rollouts.java
@@ -30,6 +30,20 @@
                 List.of(new Rollout.Move(START_MS, stage, "started = by an operator\nwith 100% care")));
     }
 
+    static Rollout rollout(long number, String oldVersion, String newVersion) {
+        return new Rollout(
+                "assistant",
+                number,
+                oldVersion,
+                newVersion,
+                5,
+                START_MS,
+                DUE_MS,
+                Rollout.TooLittle.TAKE_BACK,
+                Stage.EARLY,
+                List.of());
+    }
+
     static Backend backend(String version) {
         return new Backend(
                 new BackendId("engine-" + version),
