Judge slowness against the same stage and time; let prefix caches fill first

Cause: with 8 nodes each sees few requests in progress at a server, so all attempts fall into the lowest load band. The recent part was held against the old version's durations of the whole rollout, and in the half stage the new version's durations are mostly of the later time.

Change: evidence is kept by stage (the cell's band counts stages too; the message is unchanged), since within a stage both versions get a fixed share and are spread alike over time. Ruled out: leaving the whole out and judging the recent part alone; versions slower by half then stay below the bound in the early stage.

A version that is slow only to the first byte on an engine is found later.

--- a/cli/src/main/java/org/fuchsiadeck/cli/load/LoadCommand.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/load/LoadCommand.java
@@ -75,6 +75,7 @@
         commands.put("load", new LoadCommand());
         commands.put("verdicts", new VerdictCommand());
         commands.put("experiment plan", new PlanCommand());
+        commands.put("experiment rollout", new RolloutWatchCommand());
         commands.put("experiment table", new TableCommand());
         return commands;
     }
--- a/cli/src/main/java/org/fuchsiadeck/cli/load/StandIns.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/load/StandIns.java
@@ -62,12 +62,17 @@
         List<EngineAudit> audits = new ArrayList<>();
         for (TestbedState.BackendState backend : state().backends()) {
             if (backend.kind() == BackendInstance.Kind.ENGINE) {
-                audits.add(Json.read(get(Address.parse(backend.direct()), "/v1/audit"), EngineAudit.class));
+                audits.add(audit(backend));
             }
         }
         return audits;
     }
 
+    /** Reads the audit of an engine that runs. */
+    EngineAudit audit(TestbedState.BackendState engine) {
+        return Json.read(get(Address.parse(engine.direct()), "/v1/audit"), EngineAudit.class);
+    }
+
     /** Returns the address of a stand-in past its proxy. */
     Address address(String id) {
         if (id.equals("control")) {
--- a/cli/src/main/java/org/fuchsiadeck/cli/load/VerdictBench.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/load/VerdictBench.java
@@ -5,7 +5,6 @@
 
 import org.fuchsiadeck.core.request.AttemptObserved;
 import org.fuchsiadeck.core.rollout.Evidence;
-import org.fuchsiadeck.core.rollout.Judge;
 import org.fuchsiadeck.core.rollout.Rollout;
 import org.fuchsiadeck.core.rollout.Stage;
 import org.fuchsiadeck.core.rollout.VerdictRule;
@@ -64,11 +63,11 @@
                 seen = seen.nextPeriod();
                 nextPeriod += PERIOD_S;
             }
-            seen = seen.add(attempt);
+            seen = seen.add(attempt, second < HALF_AT_S ? Stage.EARLY : Stage.HALF);
             boolean tick = second >= nextTick;
             nextTick += tick ? TICK_S : 0;
             if (tick || fresh && attempt.verdict() != AttemptObserved.Verdict.GOOD) {
-                VerdictRule.Judgement found = Judge.judge(rule, ROLLOUT, seen.total, seen.current.plus(seen.previous));
+                VerdictRule.Judgement found = rule.judge(ROLLOUT, seen.total, seen.current.plus(seen.previous));
                 if (found.verdict() == VerdictRule.Verdict.BAD) {
                     return new Ended(true, answers, found.reason());
                 }
@@ -78,8 +77,8 @@
     }
 
     private record Seen(Evidence total, Evidence current, Evidence previous) {
-        Seen add(AttemptObserved attempt) {
-            return new Seen(total.add(attempt), current.add(attempt), previous);
+        Seen add(AttemptObserved attempt, Stage stage) {
+            return new Seen(total.add(attempt, stage), current.add(attempt, stage), previous);
         }
 
         Seen nextPeriod() {
--- a/cli/src/main/java/org/fuchsiadeck/cli/load/VerdictStream.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/load/VerdictStream.java
@@ -13,7 +13,7 @@
 
 /**
  * Draws attempts at an old and a new version of a service, as one seed decides. The old version fails 1 in 200; first
- * bytes and times per token follow the load, and one prompt in five misses the prefix cache.
+ * bytes and times per token follow the load, and 3 prompts in 100 miss the prefix cache.
  */
 final class VerdictStream {
     static final String OLD = "v1";
@@ -21,11 +21,12 @@
 
     private static final List<String> ROUTES = List.of("notice", "summary");
     private static final double OLD_FAILURE = 0.005;
-    private static final double MISS = 0.2;
+    private static final double MISS = 0.03;
     private static final double MISS_FACTOR = 3;
     private static final double FIRST_BYTE_MS = 60;
     private static final double PER_TOKEN_MS = 20;
-    private static final int SLOTS = 10;
+    private static final int SLOTS = 8;
+    private static final int NODES = 8;
     private static final int BURST_SPACING_S = 10;
     private static final double BURST_S = 3;
 
@@ -75,8 +76,8 @@
     /** Draws how many requests are in progress at a server; the nodes see only their own. */
     private int inFlight(double load) {
         int count = 0;
-        for (int i = 0; i < 2 * SLOTS; i++) {
-            count += random.nextDouble() < load / 4 ? 1 : 0;
+        for (int i = 0; i < SLOTS; i++) {
+            count += random.nextDouble() < load / NODES ? 1 : 0;
         }
         return count;
     }
--- a/core/src/main/java/org/fuchsiadeck/core/rollout/Evidence.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/Evidence.java
@@ -17,14 +17,32 @@
     /** Requests in progress below which the load band is low, then middle; the rest is high. */
     private static final int[] BAND_LIMITS = {4, 12};
 
+    /** How many load bands there are. */
+    static final int LOADS = BAND_LIMITS.length + 1;
+
     /**
      * Where an attempt counts.
      *
      * @param version the version of the service
      * @param route the route
-     * @param band how loaded the backend server was, from 0
+     * @param band the stage of the rollout and how loaded the backend server was: {@link #LOADS} numbers for each stage
      */
     public record Cell(String version, String route, int band) implements Comparable<Cell> {
+        /** Returns how loaded the backend server was, from 0. */
+        int load() {
+            return band % LOADS;
+        }
+
+        /** Returns the stage of the rollout. */
+        Stage stage() {
+            return Stage.values()[band / LOADS];
+        }
+
+        /** Returns the same route and load with another version at another stage. */
+        Cell at(String other, Stage stage) {
+            return new Cell(other, route, stage.ordinal() * LOADS + load());
+        }
+
         @Override
         public int compareTo(Cell other) {
             int order = version.compareTo(other.version);
@@ -34,13 +52,25 @@
     }
 
     /**
-     * Returns the evidence with an attempt added.
+     * Returns the evidence with an attempt in the early stage added.
      *
      * @param seen the attempt
      * @return the new evidence
      */
     public Evidence add(AttemptObserved seen) {
-        Cell cell = new Cell(seen.backend().version(), seen.route(), band(seen.load()));
+        return add(seen, Stage.EARLY);
+    }
+
+    /**
+     * Returns the evidence with an attempt added.
+     *
+     * @param seen the attempt
+     * @param stage the stage of the rollout; within a stage both versions' attempts are spread alike over time
+     * @return the new evidence
+     */
+    public Evidence add(AttemptObserved seen, Stage stage) {
+        int band = stage.ordinal() * LOADS + band(seen.load());
+        Cell cell = new Cell(seen.backend().version(), seen.route(), band);
         return new Evidence(cells.put(cell, cells.getOrElse(cell, Tally.EMPTY).add(seen)));
     }
 
@@ -77,6 +107,16 @@
                 .fold(Tally.EMPTY, Tally::plus);
     }
 
+    /**
+     * Returns the part that was seen of a version.
+     *
+     * @param version the version
+     * @return the part
+     */
+    public Evidence only(String version) {
+        return new Evidence(cells.filterKeys(c -> c.version().equals(version)));
+    }
+
     /**
      * Returns the routes on which a version was seen.
      *
--- a/core/src/main/java/org/fuchsiadeck/core/rollout/Histogram.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/Histogram.java
@@ -78,7 +78,12 @@
      * @return the upper bound of the bucket, in milliseconds
      */
     public double quantileAbove(double share) {
-        return Math.pow(GROWTH, bucketWithAbove(share) + 1);
+        return upperMs(bucketWithAbove(share));
+    }
+
+    /** Returns the upper bound of a bucket, in milliseconds. */
+    static double upperMs(int bucket) {
+        return Math.pow(GROWTH, bucket + 1);
     }
 
     private static int bucket(double ms) {
--- a/core/src/main/java/org/fuchsiadeck/core/rollout/Observations.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/Observations.java
@@ -1,5 +1,7 @@
 package org.fuchsiadeck.core.rollout;
 
+import org.fuchsiadeck.core.request.AttemptObserved;
+
 /**
  * What one node saw of one rollout, whole and lately.
  *
@@ -10,7 +12,8 @@
  * @param previous what was seen in the period before
  */
 record Observations(long number, Evidence total, long epochMs, Evidence current, Evidence previous) {
-    private static final long PERIOD_MS = 5_000;
+    /** How long a period is, in milliseconds. */
+    static final long PERIOD_MS = 5_000;
 
     static Observations start(long number, long nowMs) {
         return new Observations(number, Evidence.EMPTY, nowMs, Evidence.EMPTY, Evidence.EMPTY);
@@ -20,9 +23,9 @@
         return new Observations(number, total, nowMs, recent, Evidence.EMPTY);
     }
 
-    Observations add(org.fuchsiadeck.core.request.AttemptObserved seen, long nowMs) {
+    Observations add(AttemptObserved seen, Stage stage, long nowMs) {
         Observations o = at(nowMs);
-        return new Observations(number, o.total.add(seen), o.epochMs, o.current.add(seen), o.previous);
+        return new Observations(number, o.total.add(seen, stage), o.epochMs, o.current.add(seen, stage), o.previous);
     }
 
     Observations at(long nowMs) {
--- a/core/src/main/java/org/fuchsiadeck/core/rollout/RolloutReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/RolloutReducer.java
@@ -73,7 +73,7 @@
         }
         Observations before =
                 state.own().getOrElse(rollout.service(), Observations.start(rollout.number(), view.nowMs()));
-        RolloutState next = state.withOwn(rollout.service(), before.add(seen, view.nowMs()));
+        RolloutState next = state.withOwn(rollout.service(), before.add(seen, rollout.stage(), view.nowMs()));
         boolean judgeNow = seen.verdict() != AttemptObserved.Verdict.GOOD
                 && backend.version().equals(rollout.newVersion());
         return judgeNow ? judged(next, view, rollout) : Step.of(next);
--- a/core/src/main/java/org/fuchsiadeck/core/rollout/VerdictRule.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/VerdictRule.java
@@ -16,6 +16,24 @@
      */
     Judgement judge(Rollout rollout, Evidence evidence);
 
+    /**
+     * Judges the whole and the recent evidence of a rollout, since some faults show late.
+     *
+     * @param rollout the rollout
+     * @param total what was seen of both versions since the rollout began
+     * @param recent what was seen of both versions lately
+     * @return the verdict so far; bad if either part is bad
+     */
+    default Judgement judge(Rollout rollout, Evidence total, Evidence recent) {
+        Judgement whole = judge(rollout, total);
+        if (whole.verdict() == Verdict.BAD) {
+            return whole;
+        }
+        Evidence late = total.only(rollout.oldVersion()).plus(recent.only(rollout.newVersion()));
+        Judgement lately = judge(rollout, late);
+        return lately.verdict() == Verdict.BAD ? lately : whole;
+    }
+
     /** What is known of a new version. */
     enum Verdict {
         /** It is worse than the old version. */
--- a/core/src/test/java/org/fuchsiadeck/core/rollout/SequentialRuleTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/rollout/SequentialRuleTest.java
@@ -66,6 +66,75 @@
         assertThat(rule.judge(rollout, evidence).verdict()).isEqualTo(VerdictRule.Verdict.OPEN);
     }
 
+    @Test
+    void neverCondemnsGoodVersionsWhoseLoadDoublesAtHalfOfTheTraffic() {
+        for (int seed = 0; seed < TRIALS; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            Evidence evidence = Evidence.EMPTY;
+            for (int i = 0; i < 10 * ATTEMPTS; i++) {
+                String version = random.nextInt(20) == 0 ? "v2" : "v1";
+                evidence = evidence.add(engine(random, version, 60, 20), Stage.EARLY);
+            }
+            Evidence recent = Evidence.EMPTY;
+            for (int i = 0; i < ATTEMPTS; i++) {
+                AttemptObserved busy = engine(random, i % 2 == 0 ? "v1" : "v2", 120, 40);
+                evidence = evidence.add(busy, Stage.HALF);
+                recent = recent.add(busy, Stage.HALF);
+                assertThat(rule.judge(rollout, evidence, recent).verdict()).isNotEqualTo(VerdictRule.Verdict.BAD);
+            }
+        }
+    }
+
+    @Test
+    void neverCondemnsGoodVersionsForPrefixCachesThatFill() {
+        SplittableRandom random = new SplittableRandom(5);
+        Evidence evidence = Evidence.EMPTY;
+        for (int i = 0; i < ATTEMPTS; i++) {
+            evidence = evidence.add(engine(random, "v1", 60, 20));
+        }
+        for (int i = 0; i < 100; i++) {
+            evidence = evidence.add(engine(random, "v2", 300, 20));
+            assertThat(rule.judge(rollout, evidence, evidence).verdict()).isNotEqualTo(VerdictRule.Verdict.BAD);
+        }
+    }
+
+    @Test
+    void condemnsVersionsWhoseFirstBytesStaySlowWithFullCaches() {
+        SplittableRandom random = new SplittableRandom(6);
+        Evidence evidence = Evidence.EMPTY;
+        for (int i = 0; i < ATTEMPTS; i++) {
+            evidence = evidence.add(engine(random, "v1", 60, 20));
+        }
+        for (int i = 0; i < 220; i++) {
+            evidence = evidence.add(engine(random, "v2", 300, 20));
+        }
+        assertThat(rule.judge(rollout, evidence, evidence).verdict()).isEqualTo(VerdictRule.Verdict.BAD);
+    }
+
+    @Test
+    void condemnsEnginesThatTakeTwiceTheTimePerToken() {
+        SplittableRandom random = new SplittableRandom(8);
+        Evidence evidence = Evidence.EMPTY;
+        for (int i = 0; i < ATTEMPTS; i++) {
+            evidence = evidence.add(engine(random, "v1", 60, 20));
+        }
+        for (int i = 0; i < 60; i++) {
+            evidence = evidence.add(engine(random, "v2", 60, 40));
+        }
+        assertThat(rule.judge(rollout, evidence).verdict()).isEqualTo(VerdictRule.Verdict.BAD);
+    }
+
+    private static AttemptObserved engine(SplittableRandom random, String version, int firstByteMs, int perTokenMs) {
+        double noise = 0.8 + 0.4 * random.nextDouble();
+        return new AttemptObserved(
+                "notice",
+                Rollouts.backend(version),
+                Verdict.GOOD,
+                Math.round(firstByteMs * noise),
+                perTokenMs * noise,
+                2);
+    }
+
     private int answersUntilBad(IntFunction<AttemptObserved> answer) {
         Evidence evidence = noisyOld(new SplittableRandom(11));
         for (int i = 0; i < ATTEMPTS; i++) {
