--- /dev/null
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/EvidenceSum.java
@@ -0,0 +1,56 @@
+package org.fuchsiadeck.core.rollout;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import io.vavr.collection.TreeMap;
+
+/**
+ * Adds up the evidence of many nodes.
+ */
+final class EvidenceSum {
+    private final Map<Evidence.Cell, CellSum> cells = new HashMap<>();
+
+    void add(Evidence evidence) {
+        evidence.cells()
+                .forEach((cell, tally) ->
+                        cells.computeIfAbsent(cell, c -> new CellSum()).add(tally));
+    }
+
+    Evidence evidence() {
+        io.vavr.collection.Map<Evidence.Cell, Tally> out = TreeMap.empty();
+        for (Map.Entry<Evidence.Cell, CellSum> entry : cells.entrySet()) {
+            out = out.put(entry.getKey(), entry.getValue().tally());
+        }
+        return new Evidence(out);
+    }
+
+    private static final class CellSum {
+        private final Map<Integer, Long> firstByte = new HashMap<>();
+        private final Map<Integer, Long> perToken = new HashMap<>();
+        private long good;
+        private long failed;
+        private long corrupt;
+
+        void add(Tally tally) {
+            good += tally.good();
+            failed += tally.failed();
+            corrupt += tally.corrupt();
+            add(firstByte, tally.firstByte());
+            add(perToken, tally.perToken());
+        }
+
+        Tally tally() {
+            return new Tally(
+                    good,
+                    failed,
+                    corrupt,
+                    new Histogram(TreeMap.ofAll(firstByte)),
+                    new Histogram(TreeMap.ofAll(perToken)));
+        }
+
+        private static void add(Map<Integer, Long> sums, Histogram histogram) {
+            histogram.counts().forEach((bucket, count) -> sums.merge(bucket, count, Long::sum));
+        }
+    }
+}
--- a/core/src/main/java/org/fuchsiadeck/core/rollout/FailureTest.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/FailureTest.java
@@ -1,16 +1,17 @@
 package org.fuchsiadeck.core.rollout;
 
 import java.util.Locale;
+import java.util.Map;
 
 /**
  * Holds the failures of the new version against those of the old one on the same route: over the whole rollout, at the
  * same stage, and in the part that is judged, whichever were the most.
  *
- * @param rollout the rollout
- * @param total what was seen since the rollout began
- * @param part what is judged
+ * @param whole the old version's attempts by route, since the rollout began
+ * @param stages the same in the part that is judged, by route and stage
+ * @param part the same in the part that is judged, by route
  */
-record FailureTest(Rollout rollout, Evidence total, Evidence part) {
+record FailureTest(Map<String, Counts> whole, Map<RouteStage, Counts> stages, Map<String, Counts> part) {
     private static final double[] WORSE = {0.03, 0.10, 0.30, 0.90};
     /** Share of failures that is never held against a version. */
     private static final double TOLERATED = 0.005;
@@ -19,19 +20,24 @@
     /** Attempts of the old version needed for a rate of their own. */
     private static final long MIN_OLD = 50;
 
-    SequentialRule.Finding find(Evidence.Cell cell, Tally fresh) {
-        Tally old = total.onRoute(rollout.oldVersion(), cell.route());
-        Evidence oldPart = new Evidence(part.only(rollout.oldVersion())
-                .cells()
-                .filterKeys(c -> c.route().equals(cell.route())));
-        Tally sameStage =
-                new Evidence(oldPart.cells().filterKeys(c -> c.stage() == cell.stage())).total(rollout.oldVersion());
-        double base =
-                Math.max(rate(old), Math.max(rateOfMany(sameStage), rateOfMany(oldPart.total(rollout.oldVersion()))));
-        double ratio = SequentialRule.Finding.logRatio(fresh.bad(), fresh.count(), Math.max(TOLERATED, base), WORSE);
-        return new SequentialRule.Finding(
+    /** Returns the test of a part of what was seen of a rollout. */
+    static FailureTest of(Rollout rollout, Evidence total, Evidence part) {
+        String old = rollout.oldVersion();
+        return new FailureTest(
+                Counts.of(total, old, Evidence.Cell::route),
+                Counts.of(part, old, RouteStage::of),
+                Counts.of(part, old, Evidence.Cell::route));
+    }
+
+    Finding find(Evidence.Cell cell, Tally fresh) {
+        Counts old = whole.getOrDefault(cell.route(), Counts.NONE);
+        double stage = rateOfMany(stages.getOrDefault(RouteStage.of(cell), Counts.NONE));
+        double lately = rateOfMany(part.getOrDefault(cell.route(), Counts.NONE));
+        double base = Math.max(TOLERATED, Math.max(rate(old), Math.max(stage, lately)));
+        double ratio = Finding.logRatio(fresh.bad(), fresh.count(), base, WORSE);
+        return new Finding(
                 ratio,
-                String.format(
+                () -> String.format(
                         Locale.ROOT,
                         "route %s load %d: %d of %d answers bad, old version %d of %d",
                         cell.route(),
@@ -42,11 +48,18 @@
                         old.count()));
     }
 
-    private static double rateOfMany(Tally old) {
+    private static double rateOfMany(Counts old) {
         return old.count() < MIN_OLD ? 0 : rate(old);
     }
 
-    private static double rate(Tally old) {
+    private static double rate(Counts old) {
         return old.count() == 0 ? 0 : SLACK * (old.bad() + 0.5) / (old.count() + 1);
     }
+
+    /** A route at a stage. */
+    record RouteStage(String route, Stage stage) {
+        static RouteStage of(Evidence.Cell cell) {
+            return new RouteStage(cell.route(), cell.stage());
+        }
+    }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/rollout/Judge.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/Judge.java
@@ -15,16 +15,16 @@
     }
 
     static Evidence merge(RolloutState state, Rollout rollout, long nowMs, boolean whole) {
-        Evidence sum = state.own()
+        EvidenceSum sum = new EvidenceSum();
+        state.own()
                 .get(rollout.service())
-                .map(o -> whole ? o.total() : o.at(nowMs).recent())
-                .getOrElse(Evidence.EMPTY);
+                .forEach(o -> sum.add(whole ? o.total() : o.at(nowMs).recent()));
         for (Observations other :
                 state.others().getOrElse(rollout.service(), TreeMap.empty()).values()) {
             if (other.number() == rollout.number()) {
-                sum = sum.plus(whole ? other.total() : other.at(nowMs).recent());
+                sum.add(whole ? other.total() : other.at(nowMs).recent());
             }
         }
-        return sum;
+        return sum.evidence();
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/rollout/SequentialRule.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/SequentialRule.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 
 /**
  * A sequential test on each route, stage and load band: the likelihood of what the new version showed under a worse rate,
@@ -15,16 +17,17 @@
 
     @Override
     public Judgement judge(Rollout rollout, Evidence evidence) {
-        Finding worst = worst(whole(rollout, evidence));
-        double bound = bound(whole(rollout, evidence).size());
+        List<Finding> findings = findings(rollout, evidence, evidence, false);
+        Finding worst = worst(findings);
+        double bound = bound(findings.size());
         if (worst.logRatio() >= bound) {
-            return new Judgement(Verdict.BAD, worst.text());
+            return new Judgement(Verdict.BAD, worst.text().get());
         }
         if (sampled(rollout, evidence) && worst.logRatio() < bound / 2) {
-            Tally seen = evidence.total(rollout.newVersion());
+            Counts seen = Counts.of(evidence, rollout.newVersion(), c -> "").getOrDefault("", Counts.NONE);
             return new Judgement(Verdict.GOOD, seen.bad() + " of " + seen.count() + " answers bad on all routes");
         }
-        return new Judgement(Verdict.OPEN, worst.text());
+        return new Judgement(Verdict.OPEN, worst.text().get());
     }
 
     @Override
@@ -33,11 +36,11 @@
         if (whole.verdict() == Verdict.BAD) {
             return whole;
         }
-        List<Finding> findings = recent(rollout, total, recent);
+        List<Finding> findings = findings(rollout, total, recent, true);
         Finding worst = worst(findings);
         double periods = Math.ceil((double) (rollout.dueWallMs() - rollout.startedWallMs()) / Observations.PERIOD_MS);
         return worst.logRatio() >= bound(findings.size() * periods)
-                ? new Judgement(Verdict.BAD, "lately, " + worst.text())
+                ? new Judgement(Verdict.BAD, "lately, " + worst.text().get())
                 : whole;
     }
 
@@ -48,31 +51,17 @@
     private static Finding worst(List<Finding> findings) {
         return findings.stream()
                 .max(Comparator.comparingDouble(Finding::logRatio))
-                .orElse(new Finding(0, "nothing seen"));
-    }
-
-    private static List<Finding> whole(Rollout rollout, Evidence evidence) {
-        List<Finding> out = new ArrayList<>();
-        FailureTest failures = new FailureTest(rollout, evidence, evidence);
-        SlownessTest slowness = new SlownessTest(rollout, evidence, evidence);
-        evidence.only(rollout.newVersion()).cells().forEach((cell, fresh) -> {
-            out.add(failures.find(cell, fresh));
-            out.add(slowness.perToken(cell, fresh));
-            if (!slowness.cached(cell)) {
-                out.add(slowness.firstByte(cell, fresh));
-            }
-        });
-        return out;
+                .orElse(new Finding(0, () -> "nothing seen"));
     }
 
-    private static List<Finding> recent(Rollout rollout, Evidence total, Evidence recent) {
+    private static List<Finding> findings(Rollout rollout, Evidence total, Evidence part, boolean lately) {
         List<Finding> out = new ArrayList<>();
-        FailureTest failures = new FailureTest(rollout, total, recent);
-        SlownessTest slowness = new SlownessTest(rollout, total, recent);
-        recent.only(rollout.newVersion()).cells().forEach((cell, fresh) -> {
+        FailureTest failures = FailureTest.of(rollout, total, part);
+        SlownessTest slowness = SlownessTest.of(rollout, total, part);
+        part.only(rollout.newVersion()).cells().forEach((cell, fresh) -> {
             out.add(failures.find(cell, fresh));
             out.add(slowness.perToken(cell, fresh));
-            if (!slowness.cached(cell) || slowness.warm(cell)) {
+            if (lately ? slowness.cachesFilled(cell) : !slowness.cached(cell)) {
                 out.add(slowness.firstByte(cell, fresh));
             }
         });
@@ -80,30 +69,11 @@
     }
 
     private static boolean sampled(Rollout rollout, Evidence evidence) {
-        io.vavr.collection.SortedSet<String> routes = evidence.routes(rollout.oldVersion());
-        return routes.nonEmpty()
-                && routes.forAll(r -> evidence.onRoute(rollout.newVersion(), r).count() >= MIN_ON_ROUTE);
-    }
-
-    /**
-     * What one test found.
-     *
-     * @param logRatio the logarithm of the likelihood ratio of worse rates against the old version's
-     * @param text the figures
-     */
-    record Finding(double logRatio, String text) {
-        /** Returns the logarithm of the likelihood ratio, averaged over the worse rates. */
-        static double logRatio(long hits, long count, double base, double[] worse) {
-            double sum = 0;
-            int used = 0;
-            for (double rate : worse) {
-                if (rate > base) {
-                    sum += Math.exp(Math.min(
-                            600, hits * Math.log(rate / base) + (count - hits) * Math.log((1 - rate) / (1 - base))));
-                    used++;
-                }
-            }
-            return used == 0 ? 0 : Math.log(sum / used);
-        }
+        Map<String, Counts> fresh = Counts.of(evidence, rollout.newVersion(), Evidence.Cell::route);
+        Set<String> routes =
+                Counts.of(evidence, rollout.oldVersion(), Evidence.Cell::route).keySet();
+        return !routes.isEmpty()
+                && routes.stream()
+                        .allMatch(r -> fresh.getOrDefault(r, Counts.NONE).count() >= MIN_ON_ROUTE);
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/rollout/SlownessTest.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/SlownessTest.java
@@ -1,6 +1,10 @@
 package org.fuchsiadeck.core.rollout;
 
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
 import java.util.function.Function;
 
 /**
@@ -11,8 +15,15 @@
  * @param rollout the rollout
  * @param total what was seen since the rollout began
  * @param part what is judged
+ * @param cached the routes whose times to the first byte depend on prefix caches, as those of engines do
+ * @param firstBytes the new version's first bytes since the rollout began, by route and stage
  */
-record SlownessTest(Rollout rollout, Evidence total, Evidence part) {
+record SlownessTest(
+        Rollout rollout,
+        Evidence total,
+        Evidence part,
+        Set<String> cached,
+        Map<FailureTest.RouteStage, Long> firstBytes) {
     private static final double[] WORSE = {0.25, 0.50, 0.95};
     /** Share of the old version's durations that count as slow. */
     private static final double SLOW_SHARE = 0.05;
@@ -27,48 +38,54 @@
     /** First bytes on a route and stage after which the new version's prefix caches count as filled. */
     private static final long WARM = 200;
 
-    /** Tells whether the route's times to the first byte depend on prefix caches, as those of engines do. */
-    boolean cached(Evidence.Cell cell) {
-        return total.onRoute(rollout.oldVersion(), cell.route()).perToken().count() > 0;
+    /** Returns the test of a part of what was seen of a rollout. */
+    static SlownessTest of(Rollout rollout, Evidence total, Evidence part) {
+        Set<String> cached = new HashSet<>();
+        Map<FailureTest.RouteStage, Long> firstBytes = new HashMap<>();
+        total.cells().forEach((cell, tally) -> {
+            if (cell.version().equals(rollout.newVersion())) {
+                firstBytes.merge(
+                        FailureTest.RouteStage.of(cell), tally.firstByte().count(), Long::sum);
+            } else if (!tally.perToken().counts().isEmpty()) {
+                cached.add(cell.route());
+            }
+        });
+        return new SlownessTest(rollout, total, part, cached, firstBytes);
+    }
+
+    /** Tells whether a time to the first byte says something of the version, rather than of its prefix caches. */
+    boolean cachesFilled(Evidence.Cell cell) {
+        return !cached(cell) || firstBytes.getOrDefault(FailureTest.RouteStage.of(cell), 0L) >= WARM;
     }
 
-    /** Tells whether the new version's prefix caches have had time to fill at the stage. */
-    boolean warm(Evidence.Cell cell) {
-        long seen = total.cells()
-                .filterKeys(c -> c.version().equals(cell.version())
-                        && c.route().equals(cell.route())
-                        && c.stage() == cell.stage())
-                .values()
-                .map(t -> t.firstByte().count())
-                .sum()
-                .longValue();
-        return seen >= WARM;
+    /** Tells whether the route's times to the first byte depend on prefix caches, as those of engines do. */
+    boolean cached(Evidence.Cell cell) {
+        return cached.contains(cell.route());
     }
 
-    SequentialRule.Finding perToken(Evidence.Cell cell, Tally fresh) {
+    Finding perToken(Evidence.Cell cell, Tally fresh) {
         return find(cell, "time per token", fresh, Tally::perToken);
     }
 
-    SequentialRule.Finding firstByte(Evidence.Cell cell, Tally fresh) {
+    Finding firstByte(Evidence.Cell cell, Tally fresh) {
         return find(cell, "first byte", fresh, Tally::firstByte);
     }
 
-    private SequentialRule.Finding find(
-            Evidence.Cell cell, String what, Tally fresh, Function<Tally, Histogram> durations) {
+    private Finding find(Evidence.Cell cell, String what, Tally fresh, Function<Tally, Histogram> durations) {
         boolean sameTime = cell.stage() == Stage.EARLY || cell.stage() == Stage.HALF;
         Histogram old = sameTime
                 ? durations.apply(at(part, cell, cell.stage()))
                 : durations.apply(at(total, cell, Stage.HALF)).plus(durations.apply(at(total, cell, Stage.EARLY)));
         if (old.count() < MIN_OLD) {
-            return new SequentialRule.Finding(0, "route " + cell.route() + ": too few durations of the old version");
+            return new Finding(0, () -> "route " + cell.route() + ": too few durations of the old version");
         }
         int bucket = old.bucketWithAbove(SLOW_SHARE) + (sameTime ? SAME_TIME : EARLIER);
         long slow = durations.apply(fresh).above(bucket);
         long count = durations.apply(fresh).count();
         double base = SLACK * Math.max(SLOW_SHARE, (old.above(bucket) + 1.0) / old.count());
-        return new SequentialRule.Finding(
-                SequentialRule.Finding.logRatio(slow, count, base, WORSE),
-                String.format(
+        return new Finding(
+                Finding.logRatio(slow, count, base, WORSE),
+                () -> String.format(
                         Locale.ROOT,
                         "route %s load %d: %s beyond %.0f ms in %d of %d answers, old version in %d of %d",
                         cell.route(),
