Report evidence more rarely among many nodes, at once when the new version answers badly

Cause: each node reported to two aggregators on each tick: 740 reports a second at each of them with 370 nodes. Change: with n peers a node reports on one tick in 1 + n/32, and on each tick while the new version answers badly. Conclusion: the load of an aggregator no longer grows with the fleet while the new version answers well.

--- a/core/src/main/java/org/fuchsiadeck/core/rollout/RolloutGossip.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/RolloutGossip.java
@@ -19,6 +19,9 @@
 final class RolloutGossip {
     private static final int AGGREGATORS = 2;
     private static final int MAX_FAN_OUT = 8;
+    /** With so many peers or more, a node does not report on each tick. */
+    private static final int EAGER_PEERS = 32;
+
     private static final int DIGEST_TICKS = 4;
 
     /** The revision that a node gives which does not know the book. */
@@ -66,7 +69,7 @@
 
     static List<Effect> reports(RolloutState state, View view) {
         List<Effect> out = new ArrayList<>();
-        state.own().forEach((service, seen) -> {
+        state.own().filter((service, seen) -> due(state, view, service, seen)).forEach((service, seen) -> {
             RolloutMessage message = new RolloutMessage.Observed(
                     service, seen.number(), seen.total(), seen.at(view.nowMs()).recent());
             for (NodeId to : aggregators(view, service)) {
@@ -86,6 +89,22 @@
         return out;
     }
 
+    /**
+     * Tells whether to report now: on each tick while there are few nodes or the new version answers badly, otherwise so
+     * rarely that an aggregator gets as many reports as from few nodes.
+     */
+    private static boolean due(RolloutState state, View view, String service, Observations seen) {
+        long every = 1 + view.peers().alive().size() / EAGER_PEERS;
+        long offset = Rendezvous.hash(view.self().id().value());
+        return Math.floorMod(state.ticks() + offset, every) == 0
+                || state.book().rollouts().get(service).exists(r -> bad(r, seen.at(view.nowMs())));
+    }
+
+    private static boolean bad(Rollout rollout, Observations seen) {
+        return Counts.of(seen.recent(), rollout.newVersion(), Evidence.Cell::version).values().stream()
+                .anyMatch(c -> c.bad() > 0);
+    }
+
     static List<NodeId> aggregators(View view, String service) {
         List<NodeId> nodes = new ArrayList<>(view.peers().alive().keySet());
         nodes.add(view.self().id());
