Judge the failures of all routes and loads together too

Cause: failures were judged in cells of route, stage and load only. On real processes (Howrah, 4 nodes, machine at a load average of 55, where the old version failed now and then too) a version that failed every request after its eighth was not condemned within 12 s and 8 failures, spread over two routes and several loads. Change: one more test pools all of them, against the rate of the route and stage where the old version fails most. condemnsVersionsWhoseFailuresSpreadOverManyRoutes failed first: 8 routes, one failure each, no verdict. Ruled out: the old version's mean over all routes as the base; a change in the mix of routes could look like failures.

--- a/core/src/main/java/org/fuchsiadeck/core/rollout/FailureTest.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/FailureTest.java
@@ -17,6 +17,8 @@
     private static final double TOLERATED = 0.005;
     /** Factor on the old version's rate, since it is an estimate. */
     private static final double SLACK = 1.5;
+
+    private static final double PERCENT = 100;
     /** Attempts of the old version needed for a rate of their own. */
     private static final long MIN_OLD = 50;
 
@@ -29,12 +31,10 @@
                 Counts.of(part, old, Evidence.Cell::route));
     }
 
+    /** Tests one route and load. */
     Finding find(Evidence.Cell cell, Tally fresh) {
         Counts old = whole.getOrDefault(cell.route(), Counts.NONE);
-        double stage = rateOfMany(stages.getOrDefault(RouteStage.of(cell), Counts.NONE));
-        double lately = rateOfMany(part.getOrDefault(cell.route(), Counts.NONE));
-        double base = Math.max(TOLERATED, Math.max(rate(old), Math.max(stage, lately)));
-        double ratio = Finding.logRatio(fresh.bad(), fresh.count(), base, WORSE);
+        double ratio = Finding.logRatio(fresh.bad(), fresh.count(), base(RouteStage.of(cell)), WORSE);
         return new Finding(
                 ratio,
                 () -> String.format(
@@ -48,6 +48,27 @@
                         old.count()));
     }
 
+    /** Tests all routes and loads together, against the route and stage where the old version fails most. */
+    Finding all(Map<RouteStage, Counts> fresh) {
+        Counts sum = fresh.values().stream().reduce(Counts.NONE, Counts::plus);
+        double base = fresh.keySet().stream().mapToDouble(this::base).max().orElse(TOLERATED);
+        return new Finding(
+                Finding.logRatio(sum.bad(), sum.count(), base, WORSE),
+                () -> String.format(
+                        Locale.ROOT,
+                        "all routes: %d of %d answers bad, old version at most %.1f %% on a route",
+                        sum.bad(),
+                        sum.count(),
+                        PERCENT * base / SLACK));
+    }
+
+    private double base(RouteStage at) {
+        double overall = rate(whole.getOrDefault(at.route(), Counts.NONE));
+        double stage = rateOfMany(stages.getOrDefault(at, Counts.NONE));
+        double lately = rateOfMany(part.getOrDefault(at.route(), Counts.NONE));
+        return Math.max(TOLERATED, Math.max(overall, Math.max(stage, lately)));
+    }
+
     private static double rateOfMany(Counts old) {
         return old.count() < MIN_OLD ? 0 : rate(old);
     }
--- a/core/src/main/java/org/fuchsiadeck/core/rollout/SequentialRule.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/SequentialRule.java
@@ -7,7 +7,7 @@
 import java.util.Set;
 
 /**
- * A sequential test on each route, stage and load band: the likelihood of what the new version showed under a worse rate,
+ * A sequential test on each route, stage and load band, and for failures on all of them together: the likelihood of what the new version showed under a worse rate,
  * averaged over several worse rates, against its likelihood under the old version's rate. The ratio may be looked at
  * after every attempt; a good version exceeds the bound with a probability of at most {@link #FALSE_ALARM}.
  */
@@ -58,6 +58,7 @@
         List<Finding> out = new ArrayList<>();
         FailureTest failures = FailureTest.of(rollout, total, part);
         SlownessTest slowness = SlownessTest.of(rollout, total, part);
+        out.add(failures.all(Counts.of(part, rollout.newVersion(), FailureTest.RouteStage::of)));
         part.only(rollout.newVersion()).cells().forEach((cell, fresh) -> {
             out.add(failures.find(cell, fresh));
             out.add(slowness.perToken(cell, fresh));
--- a/core/src/test/java/org/fuchsiadeck/core/rollout/SequentialRuleTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/rollout/SequentialRuleTest.java
@@ -57,6 +57,12 @@
                 .isLessThan(40);
     }
 
+    @Test
+    void condemnsVersionsWhoseFailuresSpreadOverManyRoutes() {
+        assertThat(answersUntilBad(i -> Rollouts.seen("v2", "route-" + i % 8, Verdict.FAILED, -1)))
+                .isLessThanOrEqualTo(8);
+    }
+
     @Test
     void staysOpenUntilEveryRouteIsSampled() {
         Evidence evidence = noisyOld(new SplittableRandom(3));
