--- a/cli/src/main/java/org/fuchsiadeck/cli/load/RolloutWatch.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/load/RolloutWatch.java
@@ -96,7 +96,7 @@
     /** Returns when each node logged that the version is condemned, in the order of the times. */
     static List<Long> condemnedMs(List<String> logLines) {
         return List.copyOf(new TreeSet<>(logLines.stream()
-                .filter(l -> l.contains("CONDEMNED") || l.contains(" in rollout "))
+                .filter(l -> l.contains("VERSION_CONDEMNED"))
                 .map(RolloutWatch::timeMs)
                 .toList()));
     }
