Sample each stage before the next step forward

Change: the 20 answers on each route must be of the present stage. staysOpenAtHalfOfTheTrafficUntilThatWasSampled failed first. The experiment adds as many new engines as there are old ones; three took the load of six and timed out. Ruled out: a least time for each stage; with little traffic it says nothing.

--- a/core/src/main/java/org/fuchsiadeck/core/rollout/SequentialRule.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/SequentialRule.java
@@ -69,12 +69,16 @@
         return out;
     }
 
+    /** Tells whether each route was sampled at the present stage; a greater share is a greater load. */
     private static boolean sampled(Rollout rollout, Evidence evidence) {
-        Map<String, Counts> fresh = Counts.of(evidence, rollout.newVersion(), Evidence.Cell::route);
+        Map<FailureTest.RouteStage, Counts> fresh =
+                Counts.of(evidence, rollout.newVersion(), FailureTest.RouteStage::of);
         Set<String> routes =
                 Counts.of(evidence, rollout.oldVersion(), Evidence.Cell::route).keySet();
         return !routes.isEmpty()
                 && routes.stream()
-                        .allMatch(r -> fresh.getOrDefault(r, Counts.NONE).count() >= MIN_ON_ROUTE);
+                        .allMatch(r -> fresh.getOrDefault(new FailureTest.RouteStage(r, rollout.stage()), Counts.NONE)
+                                        .count()
+                                >= MIN_ON_ROUTE);
     }
 }
--- a/core/src/test/java/org/fuchsiadeck/core/rollout/SequentialRuleTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/rollout/SequentialRuleTest.java
@@ -63,6 +63,22 @@
                 .isLessThanOrEqualTo(8);
     }
 
+    @Test
+    void staysOpenAtHalfOfTheTrafficUntilThatWasSampled() {
+        Evidence evidence = noisyOld(new SplittableRandom(3));
+        for (int i = 0; i < ATTEMPTS; i++) {
+            evidence = evidence.add(Rollouts.seen("v2", i % 2 == 0 ? "notice" : "summary", Verdict.GOOD, 80));
+        }
+        Rollout half = Rollouts.rollout(1, Stage.HALF);
+        assertThat(rule.judge(rollout, evidence).verdict()).isEqualTo(VerdictRule.Verdict.GOOD);
+        assertThat(rule.judge(half, evidence).verdict()).isEqualTo(VerdictRule.Verdict.OPEN);
+        for (int i = 0; i < 40; i++) {
+            AttemptObserved seen = Rollouts.seen("v2", i % 2 == 0 ? "notice" : "summary", Verdict.GOOD, 80);
+            evidence = evidence.add(seen, Stage.HALF);
+        }
+        assertThat(rule.judge(half, evidence).verdict()).isEqualTo(VerdictRule.Verdict.GOOD);
+    }
+
     @Test
     void staysOpenUntilEveryRouteIsSampled() {
         Evidence evidence = noisyOld(new SplittableRandom(3));
