Name the parts of the sequential test as checks, not tests

Cause: FailureTest and SlownessTest in the main sources read as test classes. Change: renamed. Conclusion: no behaviour changes.

--- a/core/src/main/java/org/fuchsiadeck/core/rollout/FailureTest.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/FailureCheck.java
@@ -11,7 +11,7 @@
  * @param stages the same in the part that is judged, by route and stage
  * @param part the same in the part that is judged, by route
  */
-record FailureTest(Map<String, Counts> whole, Map<RouteStage, Counts> stages, Map<String, Counts> part) {
+record FailureCheck(Map<String, Counts> whole, Map<RouteStage, Counts> stages, Map<String, Counts> part) {
     private static final double[] WORSE = {0.03, 0.10, 0.30, 0.90};
     /** Share of failures that is never held against a version. */
     private static final double TOLERATED = 0.005;
@@ -23,9 +23,9 @@
     private static final long MIN_OLD = 50;
 
     /** Returns the test of a part of what was seen of a rollout. */
-    static FailureTest of(Rollout rollout, Evidence total, Evidence part) {
+    static FailureCheck of(Rollout rollout, Evidence total, Evidence part) {
         String old = rollout.oldVersion();
-        return new FailureTest(
+        return new FailureCheck(
                 Counts.of(total, old, Evidence.Cell::route),
                 Counts.of(part, old, RouteStage::of),
                 Counts.of(part, old, Evidence.Cell::route));
--- a/core/src/main/java/org/fuchsiadeck/core/rollout/SequentialRule.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/SequentialRule.java
@@ -56,9 +56,9 @@
 
     private static List<Finding> findings(Rollout rollout, Evidence total, Evidence part, boolean lately) {
         List<Finding> out = new ArrayList<>();
-        FailureTest failures = FailureTest.of(rollout, total, part);
-        SlownessTest slowness = SlownessTest.of(rollout, total, part);
-        out.add(failures.all(Counts.of(part, rollout.newVersion(), FailureTest.RouteStage::of)));
+        FailureCheck failures = FailureCheck.of(rollout, total, part);
+        SlownessCheck slowness = SlownessCheck.of(rollout, total, part);
+        out.add(failures.all(Counts.of(part, rollout.newVersion(), FailureCheck.RouteStage::of)));
         part.only(rollout.newVersion()).cells().forEach((cell, fresh) -> {
             out.add(failures.find(cell, fresh));
             out.add(slowness.perToken(cell, fresh));
@@ -71,13 +71,13 @@
 
     /** Tells whether each route was sampled at the present stage; a greater share is a greater load. */
     private static boolean sampled(Rollout rollout, Evidence evidence) {
-        Map<FailureTest.RouteStage, Counts> fresh =
-                Counts.of(evidence, rollout.newVersion(), FailureTest.RouteStage::of);
+        Map<FailureCheck.RouteStage, Counts> fresh =
+                Counts.of(evidence, rollout.newVersion(), FailureCheck.RouteStage::of);
         Set<String> routes =
                 Counts.of(evidence, rollout.oldVersion(), Evidence.Cell::route).keySet();
         return !routes.isEmpty()
                 && routes.stream()
-                        .allMatch(r -> fresh.getOrDefault(new FailureTest.RouteStage(r, rollout.stage()), Counts.NONE)
+                        .allMatch(r -> fresh.getOrDefault(new FailureCheck.RouteStage(r, rollout.stage()), Counts.NONE)
                                         .count()
                                 >= MIN_ON_ROUTE);
     }
--- a/core/src/main/java/org/fuchsiadeck/core/rollout/SlownessTest.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/SlownessCheck.java
@@ -18,12 +18,12 @@
  * @param cached the routes whose times to the first byte depend on prefix caches, as those of engines do
  * @param firstBytes the new version's first bytes since the rollout began, by route and stage
  */
-record SlownessTest(
+record SlownessCheck(
         Rollout rollout,
         Evidence total,
         Evidence part,
         Set<String> cached,
-        Map<FailureTest.RouteStage, Long> firstBytes) {
+        Map<FailureCheck.RouteStage, Long> firstBytes) {
     private static final double[] WORSE = {0.25, 0.50, 0.95};
     /** Share of the old version's durations that count as slow. */
     private static final double SLOW_SHARE = 0.05;
@@ -39,23 +39,23 @@
     private static final long WARM = 200;
 
     /** Returns the test of a part of what was seen of a rollout. */
-    static SlownessTest of(Rollout rollout, Evidence total, Evidence part) {
+    static SlownessCheck of(Rollout rollout, Evidence total, Evidence part) {
         Set<String> cached = new HashSet<>();
-        Map<FailureTest.RouteStage, Long> firstBytes = new HashMap<>();
+        Map<FailureCheck.RouteStage, Long> firstBytes = new HashMap<>();
         total.cells().forEach((cell, tally) -> {
             if (cell.version().equals(rollout.newVersion())) {
                 firstBytes.merge(
-                        FailureTest.RouteStage.of(cell), tally.firstByte().count(), Long::sum);
+                        FailureCheck.RouteStage.of(cell), tally.firstByte().count(), Long::sum);
             } else if (!tally.perToken().counts().isEmpty()) {
                 cached.add(cell.route());
             }
         });
-        return new SlownessTest(rollout, total, part, cached, firstBytes);
+        return new SlownessCheck(rollout, total, part, cached, firstBytes);
     }
 
     /** Tells whether a time to the first byte says something of the version, rather than of its prefix caches. */
     boolean cachesFilled(Evidence.Cell cell) {
-        return !cached(cell) || firstBytes.getOrDefault(FailureTest.RouteStage.of(cell), 0L) >= WARM;
+        return !cached(cell) || firstBytes.getOrDefault(FailureCheck.RouteStage.of(cell), 0L) >= WARM;
     }
 
     /** Tells whether the route's times to the first byte depend on prefix caches, as those of engines do. */
