Take test ports where no outgoing connection can be; wait for the stop of reading

Cause: AttemptTest failed three times on a busy machine: a closed server's port was taken by another socket, and the test asked whether reading had stopped before the first token came. Ruled out: the data path (each test passed alone, and the failures named the test's own assumption). Change: free ports lie below the range of outgoing connections; the test waits until reading has stopped and asserts the same as before.

--- a/node/src/test/java/org/fuchsiadeck/node/backend/AttemptTest.java
+++ b/node/src/test/java/org/fuchsiadeck/node/backend/AttemptTest.java
@@ -197,9 +197,9 @@
 
     @Test
     void reportsThatNothingWasWrittenWhenNoConnectionIsMade() throws Exception {
-        FakeServer gone = new FakeServer((m, s) -> {});
-        gone.close();
-        dispatch(exchange("r1", false), 1, gone, 0);
+        Backend gone = FakeServer.at(Sockets.freeAddress(), Backend.Kind.ENGINE);
+        Exchange exchange = exchange("r1", false);
+        backends.dispatch(exchange, new Dispatch(exchange.id(), 1, gone, 0, 1_000));
         AttemptFailed failed = await(AttemptFailed.class);
         assertThat(failed.failure().step()).isEqualTo(Step.CONNECTING);
         assertThat(failed.failure().kind()).isEqualTo(Kind.UNREACHABLE);
@@ -368,10 +368,12 @@
             dispatch(exchange, 1, server, 0);
             await(AnswerStarted.class);
             exchange.relay(1);
+            Await.until("reading has stopped", () -> {
+                exchange.reportWaiting();
+                return !all(RequestEvent.Progressed.class).isEmpty();
+            });
             int stopped = exchange.journal().tokens();
             assertThat(stopped).isLessThan(many.length);
-            exchange.reportWaiting();
-            assertThat(all(RequestEvent.Progressed.class)).isNotEmpty();
             assertThat(all(AnswerCompleted.class)).isEmpty();
             caller.drain();
             await(AnswerCompleted.class);
--- a/node/src/test/java/org/fuchsiadeck/node/testing/FakeServer.java
+++ b/node/src/test/java/org/fuchsiadeck/node/testing/FakeServer.java
@@ -50,9 +50,14 @@
 
     /** Returns the server as a backend server of a service with its name in lower case. */
     public Backend as(Backend.Kind kind) {
+        return at(address(), kind);
+    }
+
+    /** Describes a server at an address. */
+    public static Backend at(Address address, Backend.Kind kind) {
         return new Backend(
-                new BackendId("b" + server.getLocalPort()),
-                address(),
+                new BackendId("b" + address.port()),
+                address,
                 new Zone("dumdum"),
                 kind,
                 kind.name().toLowerCase(java.util.Locale.ROOT),
--- a/node/src/test/java/org/fuchsiadeck/node/testing/Sockets.java
+++ b/node/src/test/java/org/fuchsiadeck/node/testing/Sockets.java
@@ -4,17 +4,23 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.UncheckedIOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.fuchsiadeck.core.model.Address;
 
 /** Reads and writes HTTP on raw sockets. */
 public final class Sockets {
+    /** Below the ports that the system gives to outgoing connections, which could take a free one before its use. */
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger(10_000 + (int) (ProcessHandle.current().pid() % 100) * 100);
+
     private Sockets() {}
 
     /** A message read from a socket. */
@@ -34,10 +40,15 @@
 
     /** Returns an address of this host whose port is free. */
     public static Address freeAddress() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return new Address("127.0.0.1", socket.getLocalPort());
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
+        while (true) {
+            int port = NEXT_PORT.getAndIncrement();
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return new Address("127.0.0.1", socket.getLocalPort());
+            } catch (BindException e) {
+                continue;
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
         }
     }
 
