--- a/node/src/main/java/org/fuchsiadeck/node/exchange/Exchange.java
+++ b/node/src/main/java/org/fuchsiadeck/node/exchange/Exchange.java
@@ -233,16 +233,23 @@
     }
 
     /**
-     * Forgets an attempt, so that nothing it sends reaches the caller.
+     * Forgets an attempt, so that nothing it sends reaches the caller. Reports first what it passed on: a retry is
+     * judged by it.
      *
      * @param attempt the attempt
      */
     public synchronized void forget(int attempt) {
         Inbox inbox = inboxes.remove(attempt);
-        if (inbox != null) {
-            inbox.discard();
+        if (inbox == null) {
+            return;
+        }
+        inbox.discard();
+        if (inbox == relayed) {
+            if (delivered > reported) {
+                report(System.nanoTime());
+            }
+            relayed = null;
         }
-        relayed = inbox == relayed ? null : relayed;
     }
 
     /** Ends all attempts. A caller who has no final answer yet sees its connection closed. */
