--- a/node/src/main/java/org/fuchsiadeck/node/exchange/Progress.java
+++ b/node/src/main/java/org/fuchsiadeck/node/exchange/Progress.java
@@ -16,6 +16,10 @@
         return delivered - reported >= TOKENS || System.nanoTime() - reportedNanos >= NANOS;
     }
 
+    boolean isBehind(int delivered) {
+        return delivered > reported;
+    }
+
     void reported(int delivered) {
         reported = delivered;
         reportedNanos = System.nanoTime();
