--- a/node/src/main/java/org/fuchsiadeck/node/exchange/Exchange.java
+++ b/node/src/main/java/org/fuchsiadeck/node/exchange/Exchange.java
@@ -245,7 +245,7 @@
         }
         inbox.discard();
         if (inbox == relayed) {
-            if (progress.isBehind(text.tokens())) {
+            if (progress.unreported(text.tokens())) {
                 report();
             }
             relayed = null;
