Tell a new node of condemned versions before the book

A peer answered its question with the book first, which makes a node ready, and the condemned versions after it. Ruled out: a lost message (both came, milliseconds apart). Change: the condemned versions go first; messages to one peer keep their order. Figures: a test of the order fails before (Offer, Condemned) and passes after. Conclusion: the window is closed but for a link replaced between the two messages, and for a node that reads the book from the service before a peer could write a condemnation there.

--- a/core/src/main/java/org/fuchsiadeck/core/rollout/RolloutGossip.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/RolloutGossip.java
@@ -121,16 +121,17 @@
         return Step.of(state.withOther(seen.service(), from, o));
     }
 
+    /** Condemned versions go before the book, since a node that has the book takes callers' requests. */
     private static List<Effect> answer(RolloutState state, NodeId from, RolloutMessage.Digest digest) {
         List<Effect> out = new ArrayList<>();
-        if (state.known() && digest.revision() < state.revision()) {
-            String text = BookText.write(state.saved());
-            out.add(new Effect.Send(from, new RolloutMessage.Offer(state.revision(), text)));
-        }
         Collection<Condemnation> known = state.book().condemned().values().toJavaList();
         if (!known.isEmpty()) {
             out.add(new Effect.Send(from, new RolloutMessage.Condemned(List.copyOf(known))));
         }
+        if (state.known() && digest.revision() < state.revision()) {
+            String text = BookText.write(state.saved());
+            out.add(new Effect.Send(from, new RolloutMessage.Offer(state.revision(), text)));
+        }
         return out;
     }
 }
--- a/core/src/test/java/org/fuchsiadeck/core/rollout/RolloutGossipTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/rollout/RolloutGossipTest.java
@@ -1,14 +1,17 @@
 package org.fuchsiadeck.core.rollout;
 
+import java.util.List;
 import java.util.TreeMap;
 
 import org.fuchsiadeck.core.Effect;
 import org.fuchsiadeck.core.Identity;
+import org.fuchsiadeck.core.PeerReceived;
 import org.fuchsiadeck.core.View;
 import org.fuchsiadeck.core.config.Configuration;
 import org.fuchsiadeck.core.model.Address;
 import org.fuchsiadeck.core.model.NodeId;
 import org.fuchsiadeck.core.model.Peers;
+import org.fuchsiadeck.core.model.VersionShares.ServiceVersion;
 import org.fuchsiadeck.core.model.Zone;
 import org.fuchsiadeck.core.request.AttemptObserved.Verdict;
 import org.junit.jupiter.api.Test;
@@ -38,6 +41,19 @@
         assertThat(reports(369, Verdict.FAILED)).isEqualTo(AGGREGATORS * TICKS);
     }
 
+    @Test
+    void tellsANewNodeOfCondemnedVersionsBeforeTheBook() {
+        ServiceVersion v2 = new ServiceVersion("assistant", "v2");
+        RolloutState state = RolloutState.initial()
+                .withSaved(RolloutBook.EMPTY.with(Rollouts.rollout(1, Stage.EARLY)), 1)
+                .withKnown()
+                .withCondemned(List.of(new Condemnation(v2, 1, "bad")));
+        PeerReceived asked = new PeerReceived(new NodeId("n0"), new RolloutMessage.Digest(-1, 0));
+        assertThat(reducer.reduce(state, view(1), asked).effects())
+                .extracting(e -> ((Effect.Send) e).message().getClass().getSimpleName())
+                .containsExactly("Condemned", "Offer");
+    }
+
     private int reports(int peers, Verdict verdict) {
         View view = view(peers);
         RolloutState state = RolloutState.initial()
