--- a/cli/src/main/java/org/fuchsiadeck/cli/load/DeploymentPlan.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/load/DeploymentPlan.java
@@ -8,8 +8,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 
-import org.fuchsiadeck.node.run.Closer;
 import org.fuchsiadeck.testbed.BackendSpec;
 import org.fuchsiadeck.testbed.CloudSettings;
 import org.fuchsiadeck.testbed.TestbedSpec;
@@ -25,6 +25,8 @@
  */
 final class DeploymentPlan {
     private static final String HOST = "127.0.0.1:";
+    private static final int FIRST_PORT = 12_000;
+    private static final int LAST_PORT = 32_000;
     private static final int SERVICES = 3;
     private static final int PORTS_PER_NODE = 3;
     private static final int RELAY_SLOTS = 64;
@@ -167,17 +169,24 @@
         return TestbedSpec.of(backends.toArray(BackendSpec[]::new));
     }
 
-    /** Finds free ports; all are held at once, so that no two are the same. */
+    /** Finds free ports below those that systems give to outgoing connections, which would take them meanwhile. */
     private static List<Integer> freePorts(int count) {
         List<Integer> out = new ArrayList<>();
-        try (Closer closer = new Closer()) {
-            for (int i = 0; i < count; i++) {
-                out.add(closer.add(new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1")))
-                        .getLocalPort());
+        int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+        while (out.size() < count) {
+            port = port < LAST_PORT ? port + 1 : FIRST_PORT;
+            if (isFree(port)) {
+                out.add(port);
             }
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
         }
         return out;
     }
+
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+            return socket.isBound();
+        } catch (IOException e) {
+            return false;
+        }
+    }
 }
--- a/cli/src/main/java/org/fuchsiadeck/cli/load/LoadCommand.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/load/LoadCommand.java
@@ -138,13 +138,14 @@
                 r,
                 r.p50() - d.p50(),
                 r.p99() - d.p99(),
-                bench.failed(),
+                bench.failures().size(),
                 both.get(0).chunksPerS(),
                 both.get(1).chunksPerS(),
                 RelayBench.STREAMS);
         Results.write(out, summary);
         write(console, RelaySummary.table(List.of(summary)));
-        return bench.failed() > 0 ? ExitCode.FAILED : ExitCode.DONE;
+        bench.failures().forEach(f -> console.error(ExitCode.FAILED, f));
+        return bench.failures().isEmpty() ? ExitCode.DONE : ExitCode.FAILED;
     }
 
     private static List<Address> direct(TestbedState state, BackendInstance.Kind kind) {
--- a/cli/src/main/java/org/fuchsiadeck/cli/load/RelayBench.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/load/RelayBench.java
@@ -1,10 +1,11 @@
 package org.fuchsiadeck.cli.load;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 
@@ -33,7 +34,7 @@
 
     private final CallerClient client;
     private final List<String> versions;
-    private final AtomicInteger failed = new AtomicInteger();
+    private final List<String> failures = new CopyOnWriteArrayList<>();
 
     RelayBench(CallerClient client, List<String> versions) {
         this.client = client;
@@ -77,8 +78,9 @@
                 new Measured(Quantiles.ofMicros(times.get(1)), chunks[1]));
     }
 
-    int failed() {
-        return failed.get();
+    /** Returns what was not answered right. */
+    List<String> failures() {
+        return List.copyOf(failures);
     }
 
     private void plainRound(Way way, double ratePerS, ConcurrentHistogram us) throws InterruptedException {
@@ -91,13 +93,14 @@
             await(atNs);
             client.send(request, ending -> {
                 us.recordValue(TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - atNs));
-                boolean good = Outcome.of(ending, null) == Outcome.ANSWERED;
-                failed.addAndGet(good ? 0 : 1);
+                if (Outcome.of(ending, null) != Outcome.ANSWERED) {
+                    failures.add("plain request to " + way.plain + ": " + ending.head() + " " + ending.detail());
+                }
                 ended.release();
             });
         }
         if (!ended.tryAcquire(count, ANSWER_LIMIT_S, TimeUnit.SECONDS)) {
-            failed.addAndGet(count - ended.availablePermits());
+            failures.add((count - ended.availablePermits()) + " plain requests to " + way.plain + " have no end");
         }
     }
 
@@ -114,13 +117,15 @@
         long startNs = System.nanoTime();
         long endNs = startNs + STREAM_ROUND_NS;
         Semaphore ended = new Semaphore(0);
+        List<StreamLoop> loops = new ArrayList<>();
         for (int i = 0; i < STREAMS; i++) {
             Address to = way.streams.get(i % way.streams.size());
             CallerRequest request = new CallerRequest(to, "POST", way.streamPath, Map.of(), STREAM_BODY);
-            new StreamLoop(request, endNs, tokens, ended).next();
+            loops.add(new StreamLoop(request, endNs, tokens, ended));
         }
+        loops.forEach(StreamLoop::next);
         if (!ended.tryAcquire(STREAMS, ANSWER_LIMIT_S, TimeUnit.SECONDS)) {
-            failed.incrementAndGet();
+            loops.forEach(StreamLoop::giveUp);
         }
         return tokens.get() * NS_PER_S / STREAM_ROUND_NS;
     }
@@ -132,6 +137,7 @@
         private final AtomicLong tokens;
         private final Semaphore ended;
         private TokenCheck check;
+        private PendingAnswer answer;
 
         StreamLoop(CallerRequest request, long endNs, AtomicLong tokens, Semaphore ended) {
             this.request = request;
@@ -142,7 +148,11 @@
 
         void next() {
             check = new TokenCheck(versions, "relay", STREAM_TOKENS);
-            client.send(request, this);
+            answer = client.send(request, this);
+        }
+
+        void giveUp() {
+            answer.giveUp("no end");
         }
 
         @Override
@@ -157,7 +167,10 @@
 
         @Override
         public void ended(Ending ending) {
-            failed.addAndGet(check.isWhole() ? 0 : 1);
+            if (!check.isWhole()) {
+                failures.add("stream from " + request.to() + " after " + check.tokens() + " tokens, "
+                        + (check.isRight() ? "right" : "wrong") + ": " + ending.head() + " " + ending.detail());
+            }
             if (System.nanoTime() < endNs) {
                 next();
             } else {
--- a/cli/src/main/java/org/fuchsiadeck/cli/load/Summary.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/load/Summary.java
@@ -68,9 +68,16 @@
      * @param shareWithinGoals part of them that was answered whole and within the goals
      * @param refused how many were refused as not run
      * @param firstToken time to the first token
-     * @param latency time to the end of whole answers
+     * @param plain time to plain answers
+     * @param wholeStream time to the end of whole streams
      */
-    record Figures(int offered, double shareWithinGoals, int refused, Quantiles firstToken, Quantiles latency) {
+    record Figures(
+            int offered,
+            double shareWithinGoals,
+            int refused,
+            Quantiles firstToken,
+            Quantiles plain,
+            Quantiles wholeStream) {
         static Figures of(List<Result> results, Experiment.Goals goals) {
             List<Result> answered = results.stream().filter(Result::answered).toList();
             return new Figures(
@@ -80,7 +87,14 @@
                             .filter(r -> r.outcome() == Outcome.NOT_RUN)
                             .count(),
                     Times.of(results, Result::firstTokenNs),
-                    Times.of(answered, Result::latencyNs));
+                    Times.of(part(answered, false), Result::latencyNs),
+                    Times.of(part(answered, true), Result::latencyNs));
+        }
+
+        private static List<Result> part(List<Result> results, boolean streamed) {
+            return results.stream()
+                    .filter(r -> r.planned().request().streamed() == streamed)
+                    .toList();
         }
 
         static double share(List<Result> results, Experiment.Goals goals) {
--- a/cli/src/main/java/org/fuchsiadeck/cli/load/Table.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/load/Table.java
@@ -53,6 +53,37 @@
         return out.toString();
     }
 
+    /** Returns a line for each team in place of one for each router and rate. */
+    static String ofTeams(Collection<Summary> runs) {
+        StringBuilder out = new StringBuilder("| experiment | rate/s | router | team | runs | offered | refused "
+                + "| within goals % | first token p95 ms | plain p95 ms |\n"
+                + "|---|---|---|---|---|---|---|---|---|---|\n");
+        new TreeMap<>(runs.stream().collect(groupingBy(Table::key))).forEach((key, group) -> {
+            Summary first = group.get(0);
+            first.teams().keySet().forEach(team -> {
+                out.append("| ").append(first.experiment());
+                out.append(" | ").append(number(first.ratePerS(), 0));
+                out.append(" | ").append(first.router());
+                out.append(" | ").append(team);
+                out.append(" | ").append(group.size()).append(" |");
+                for (Column column : teamColumns(team)) {
+                    out.append(' ').append(cell(column, group)).append(" |");
+                }
+                out.append('\n');
+            });
+        });
+        return out.toString();
+    }
+
+    private static List<Column> teamColumns(String team) {
+        return List.of(
+                new Column("offered", 0, s -> s.teams().get(team).offered()),
+                new Column("refused", 0, s -> s.teams().get(team).refused()),
+                new Column("within", 1, s -> 100 * s.teams().get(team).shareWithinGoals()),
+                new Column("first", 0, s -> s.teams().get(team).firstToken().p95()),
+                new Column("plain", 0, s -> s.teams().get(team).plain().p95()));
+    }
+
     private static String key(Summary s) {
         return s.experiment() + String.format(Locale.ROOT, "/%08.1f/", s.ratePerS()) + s.router();
     }
--- a/cli/src/main/java/org/fuchsiadeck/cli/load/TableCommand.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/load/TableCommand.java
@@ -20,6 +20,9 @@
     @Parameter(description = "RESULT.json...", required = true)
     private List<Path> files;
 
+    @Parameter(names = "--teams", description = "write a line for each team")
+    private boolean teams;
+
     @Override
     public ExitCode run(Console console) {
         List<JsonNode> results = files.stream().map(Results::read).toList();
@@ -29,7 +32,8 @@
                 results.stream().filter(r -> r.has("added_p50_ms")).toList();
         String text = "";
         if (!runs.isEmpty()) {
-            text += Table.of(runs.stream().map(Results::summary).toList());
+            List<Summary> summaries = runs.stream().map(Results::summary).toList();
+            text += teams ? Table.ofTeams(summaries) : Table.of(summaries);
         }
         if (!relays.isEmpty()) {
             text += RelaySummary.table(relays.stream().map(Results::relay).toList());
--- a/cli/src/test/java/org/fuchsiadeck/cli/load/SummaryTest.java
+++ b/cli/src/test/java/org/fuchsiadeck/cli/load/SummaryTest.java
@@ -60,6 +60,7 @@
         assertThat(read).isEqualTo(summary);
         assertThat(read.shareWithinGoals()).isEqualTo(0.5);
         assertThat(Table.of(List.of(read, read))).contains("| test | 50 | round-robin | 2 | 0.1 | 50.0 |");
+        assertThat(Table.ofTeams(List.of(read))).contains("| round-robin | large | 1 | 2 | 1 | 50.0 | 0 | 1 |");
     }
 
     private static Result entry(int number, Outcome outcome) {
