--- a/cli/src/main/java/org/fuchsiadeck/cli/Main.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/Main.java
@@ -2,9 +2,11 @@
 
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.ToIntFunction;
 
+import org.fuchsiadeck.cli.capacity.CapacityCommand;
 import org.fuchsiadeck.cli.config.ApplyCommand;
 import org.fuchsiadeck.cli.config.DiffCommand;
 import org.fuchsiadeck.cli.config.ExplainCommand;
@@ -18,6 +20,7 @@
 import org.fuchsiadeck.cli.state.DumpCommand;
 import org.fuchsiadeck.cli.state.MembersCommand;
 import org.fuchsiadeck.cli.state.OperatorCalls;
+import org.fuchsiadeck.cli.state.WhyCommand;
 import org.fuchsiadeck.node.NodeDaemon;
 import org.fuchsiadeck.node.platform.HttpKeyValueStore;
 import org.fuchsiadeck.testbed.TestbedDaemon;
@@ -27,7 +30,7 @@
  */
 public final class Main {
     private static final ToIntFunction<Path> NODE = NodeDaemon::run;
-    private static final ToIntFunction<Path> TESTBED = TestbedDaemon::run;
+    private static final ToIntFunction<List<String>> TESTBED = TestbedDaemon::run;
 
     private Main() {}
 
@@ -61,7 +64,9 @@
         out.put("rollout stop", new StopCommand(connector));
         out.put("members", new MembersCommand(operator));
         out.put("dump", new DumpCommand(operator));
+        out.put("why", new WhyCommand(operator));
         out.putAll(LoadCommand.all());
+        out.put("capacity", new CapacityCommand());
         out.put("node", new NodeCommand(NODE));
         out.put("testbed", new TestbedCommand(TESTBED));
         return out;
--- a/core/src/main/java/org/fuchsiadeck/core/config/Draft.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/Draft.java
@@ -12,6 +12,7 @@
 import org.fuchsiadeck.core.View;
 import org.fuchsiadeck.core.model.NodeId;
 import org.fuchsiadeck.core.model.Peers;
+import org.fuchsiadeck.core.model.SplitMix64;
 
 /**
  * A working copy of the state while one event is reduced, with the effects gathered so far.
@@ -77,10 +78,11 @@
         return chosen;
     }
 
-    void inForce(Configuration configuration, String value) {
+    void inForce(Configuration configuration, String value, String source) {
         state = new ConfigState(
                 configuration,
                 value,
+                new ConfigState.Origin(source, nowMs()),
                 state.candidate(),
                 state.reading(),
                 state.exchange(),
@@ -94,6 +96,7 @@
         state = new ConfigState(
                 state.current(),
                 state.value(),
+                state.origin(),
                 c,
                 state.reading(),
                 state.exchange(),
@@ -106,6 +109,7 @@
         state = new ConfigState(
                 state.current(),
                 state.value(),
+                state.origin(),
                 state.candidate(),
                 reading,
                 state.exchange(),
@@ -124,6 +128,7 @@
         state = new ConfigState(
                 state.current(),
                 state.value(),
+                state.origin(),
                 state.candidate(),
                 state.reading(),
                 exchange,
@@ -136,6 +141,7 @@
         state = new ConfigState(
                 state.current(),
                 state.value(),
+                state.origin(),
                 state.candidate(),
                 state.reading(),
                 state.exchange(),
@@ -160,6 +166,7 @@
         state = new ConfigState(
                 state.current(),
                 state.value(),
+                state.origin(),
                 state.candidate(),
                 state.reading(),
                 state.exchange(),
--- a/core/src/main/java/org/fuchsiadeck/core/request/Attempts.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Attempts.java
@@ -24,7 +24,7 @@
     static void good(Turn turn, Exchange exchange) {
         Attempt attempt = exchange.attempt().get();
         long now = turn.nowMs();
-        int max = turn.policy().backendConcurrency();
+        int max = Policies.of(turn, attempt.backend()).backendConcurrency();
         change(
                 turn,
                 exchange,
@@ -41,14 +41,14 @@
         BackendId id = attempt.backend().id();
         boolean clean = unsuspected(turn, id);
         long now = turn.nowMs();
-        long suspectMs = turn.policy().suspectMs();
+        long suspectMs = Policies.of(turn, attempt.backend()).suspectMs();
         change(turn, exchange, s -> {
             Health health = s.health().failed(evidence, attempt.trial(), now, suspectMs);
-            return s.with(limit(s.limit(), failure, now)).with(health);
+            Server next = s.with(limit(s.limit(), failure, now)).with(health);
+            return evidence == Evidence.NONE ? next : next.failed(failure.kind() + " " + failure.detail());
         });
         suspected(turn, id, clean || attempt.trial(), failure);
-        Verdict verdict = failure.kind() == Failure.Kind.BAD_ANSWER ? Verdict.CORRUPT : Verdict.FAILED;
-        close(turn, exchange, leaving ? Verdict.NEUTRAL : verdict, -1);
+        close(turn, exchange, leaving ? Verdict.NEUTRAL : verdict(failure), -1);
     }
 
     /** Ends the attempt for a reason that says nothing of the server. */
@@ -114,10 +114,18 @@
                 attempt.load()));
     }
 
+    private static Verdict verdict(Failure failure) {
+        return switch (failure.kind()) {
+            case BAD_ANSWER -> Verdict.CORRUPT;
+            case NO_ROOM -> Verdict.NEUTRAL;
+            default -> Verdict.FAILED;
+        };
+    }
+
     private static Evidence evidence(Failure failure) {
         return switch (failure.kind()) {
             case UNREACHABLE -> Evidence.SERVER;
-            case REFUSED_NOT_RUN -> Evidence.NONE;
+            case REFUSED_NOT_RUN, NO_ROOM -> Evidence.NONE;
             default -> Evidence.CONNECTION;
         };
     }
--- a/core/src/main/java/org/fuchsiadeck/core/request/RequestReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/RequestReducer.java
@@ -6,6 +6,7 @@
 import org.fuchsiadeck.core.Event;
 import org.fuchsiadeck.core.EventCode;
 import org.fuchsiadeck.core.Lifecycle;
+import org.fuchsiadeck.core.PeerReceived;
 import org.fuchsiadeck.core.Reducer;
 import org.fuchsiadeck.core.Step;
 import org.fuchsiadeck.core.View;
@@ -50,10 +51,15 @@
             Draining.requested(turn, stop.noticeMs());
         } else if (event instanceof NodeWorkEvent work) {
             work(turn, work);
+        } else if (event instanceof PeerReceived received && received.message() instanceof LeavingBackend news) {
+            DepartureNews.received(turn, news);
         } else {
             return Step.of(state);
         }
-        turn.takeLeaving().forEach(id -> Departures.look(turn, id));
+        for (BackendId id : turn.takeLeaving()) {
+            DepartureNews.spread(turn, id);
+            Departures.look(turn, id);
+        }
         turn.takeFreed().forEach(service -> Waiting.serve(turn, service));
         Draining.check(turn);
         return turn.step();
@@ -103,8 +109,8 @@
                 turn.leaving(backend.id());
             }
         }
-        int max = turn.policy().backendConcurrency();
-        turn.fleet(f -> f.listed(backends, turn.nowMs(), max));
+        turn.fleet(
+                f -> f.listed(backends, turn.nowMs(), b -> Policies.of(turn, b).backendConcurrency()));
         turn.state().queues().keySet().forEach(turn::freed);
     }
 
--- a/core/src/main/java/org/fuchsiadeck/core/rollout/RolloutGossip.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/RolloutGossip.java
@@ -18,7 +18,9 @@
  */
 final class RolloutGossip {
     private static final int AGGREGATORS = 2;
-    private static final int MAX_FAN_OUT = 8;
+    /** With so many peers or more, a node does not report on each tick. */
+    private static final int EAGER_PEERS = 32;
+
     private static final int DIGEST_TICKS = 4;
 
     /** The revision that a node gives which does not know the book. */
@@ -58,7 +60,7 @@
             String detail = c.version() + " in rollout " + c.number() + ": " + c.reason();
             out.add(new Effect.Log(EventCode.VERSION_CONDEMNED, detail));
         }
-        for (NodeId to : targets(state, view)) {
+        for (NodeId to : view.peers().fanOut(view.self().id() + "/" + state.ticks())) {
             out.add(new Effect.Send(to, new RolloutMessage.Condemned(fresh)));
         }
         return new Step<>(state.withCondemned(fresh), out);
@@ -66,7 +68,7 @@
 
     static List<Effect> reports(RolloutState state, View view) {
         List<Effect> out = new ArrayList<>();
-        state.own().forEach((service, seen) -> {
+        state.own().filter((service, seen) -> due(state, view, service, seen)).forEach((service, seen) -> {
             RolloutMessage message = new RolloutMessage.Observed(
                     service, seen.number(), seen.total(), seen.at(view.nowMs()).recent());
             for (NodeId to : aggregators(view, service)) {
@@ -86,6 +88,22 @@
         return out;
     }
 
+    /**
+     * Tells whether to report now: on each tick while there are few nodes or the new version answers badly, otherwise so
+     * rarely that an aggregator gets as many reports as from few nodes.
+     */
+    private static boolean due(RolloutState state, View view, String service, Observations seen) {
+        long every = 1 + view.peers().alive().size() / EAGER_PEERS;
+        long offset = Rendezvous.hash(view.self().id().value());
+        return Math.floorMod(state.ticks() + offset, every) == 0
+                || state.book().rollouts().get(service).exists(r -> bad(r, seen.at(view.nowMs())));
+    }
+
+    private static boolean bad(Rollout rollout, Observations seen) {
+        return Counts.of(seen.recent(), rollout.newVersion(), Evidence.Cell::version).values().stream()
+                .anyMatch(c -> c.bad() > 0);
+    }
+
     static List<NodeId> aggregators(View view, String service) {
         List<NodeId> nodes = new ArrayList<>(view.peers().alive().keySet());
         nodes.add(view.self().id());
@@ -115,13 +133,4 @@
         }
         return out;
     }
-
-    private static List<NodeId> targets(RolloutState state, View view) {
-        List<NodeId> peers = List.copyOf(view.peers().alive().keySet());
-        if (peers.size() <= 2 * MAX_FAN_OUT) {
-            return peers;
-        }
-        String key = view.self().id() + "/" + state.ticks();
-        return Rendezvous.rank(key, peers, NodeId::value).subList(0, MAX_FAN_OUT);
-    }
 }
--- a/core/src/test/java/org/fuchsiadeck/core/request/RequestReducerTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/request/RequestReducerTest.java
@@ -18,6 +18,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.fuchsiadeck.core.request.Harness.MEAL;
 import static org.fuchsiadeck.core.request.Harness.STATUS;
+import static org.fuchsiadeck.core.request.Harness.app;
 import static org.fuchsiadeck.core.request.Harness.apps;
 import static org.fuchsiadeck.core.request.Harness.dispatch;
 import static org.fuchsiadeck.core.request.Harness.of;
@@ -89,6 +90,21 @@
         assertThat(last.outcome()).isEqualTo(Outcome.NOT_RUN);
     }
 
+    @Test
+    void retriesAnUnrepeatableRequestWhoseRefusalWasReadFromTheHeadOfTheAnswer() {
+        node.list(apps(2));
+        node.arrive("r", MEAL);
+        node.writing("r", 1);
+        assertThat(dispatch(node.failed("r", 1, Step.STREAMING, Kind.REFUSED_NOT_RUN))
+                        .attempt())
+                .isEqualTo(2);
+        node.writing("r", 2);
+        node.failed("r", 2, Step.STREAMING, Kind.REFUSED_NOT_RUN);
+        node.writing("r", 3);
+        RequestEffect.Respond last = respond(node.failed("r", 3, Step.STREAMING, Kind.REFUSED_NOT_RUN));
+        assertThat(last.outcome()).isEqualTo(Outcome.NOT_RUN);
+    }
+
     @Test
     void neverRepeatsNorRefusesAnUnrepeatableRequestThatWasWritten() {
         node.list(apps(3));
@@ -269,4 +285,17 @@
         return respond(node.take(new RequestEvent.ClaimDenied(new RequestId(id), denial)))
                 .outcome();
     }
+
+    @Test
+    void blamesNoServerForAnAnswerTheNodeHasNoRoomFor() {
+        node.list(app("a1"));
+        node.arrive("r1", MEAL);
+        node.writing("r1", 1);
+        List<Effect> ended = node.failed("r1", 1, Step.STREAMING, Kind.NO_ROOM);
+        assertThat(respond(ended).outcome()).isEqualTo(Outcome.UNKNOWN);
+        assertThat(respond(ended).reason()).isEqualTo("node_full");
+        assertThat(node.server("a1").health().clean()).isTrue();
+        assertThat(Harness.raised(ended, AttemptObserved.class).get(0).verdict())
+                .isEqualTo(AttemptObserved.Verdict.NEUTRAL);
+    }
 }
--- a/node/src/main/java/org/fuchsiadeck/node/NodeDaemon.java
+++ b/node/src/main/java/org/fuchsiadeck/node/NodeDaemon.java
@@ -54,9 +54,12 @@
             return fail(read.getLeft());
         }
         Settings checked = read.get().settings();
+        CountDownLatch ended = new CountDownLatch(1);
         try (LogOutput output = LogOutput.start(checked.identity().id().value(), checked.logLevel())) {
             Either<SettingsError, Node> node = Node.start(read.get(), parts.apply(checked));
-            return node.fold(NodeDaemon::fail, n -> serve(n, checked.drainNoticeMs()));
+            return node.fold(NodeDaemon::fail, n -> serve(n, checked.drainNoticeMs(), ended));
+        } finally {
+            ended.countDown();
         }
     }
 
@@ -65,9 +68,8 @@
         return EXIT_BAD_SETTINGS;
     }
 
-    private static int serve(Node node, long noticeMs) {
-        CountDownLatch closed = new CountDownLatch(1);
-        Thread hook = new Thread(() -> drain(node, noticeMs, closed), "shutdown");
+    private static int serve(Node node, long noticeMs, CountDownLatch ended) {
+        Thread hook = new Thread(() -> drain(node, noticeMs, ended), "shutdown");
         Runtime.getRuntime().addShutdownHook(hook);
         try {
             node.awaitDrained();
@@ -75,16 +77,21 @@
             Thread.currentThread().interrupt();
         } finally {
             node.close();
-            closed.countDown();
         }
         removeHook(hook);
         return EXIT_STOPPED;
     }
 
-    private static void drain(Node node, long noticeMs, CountDownLatch closed) {
+    /**
+     * Holds the process until all is closed and the last log line is written, and ends it as stopped. The exit code
+     * would be that of the signal otherwise, and a supervisor would take a graceful shutdown for a crash.
+     */
+    private static void drain(Node node, long noticeMs, CountDownLatch ended) {
         node.requestStop(noticeMs);
         try {
-            closed.await(noticeMs + CLOSE_WAIT_MS, TimeUnit.MILLISECONDS);
+            if (ended.await(noticeMs + CLOSE_WAIT_MS, TimeUnit.MILLISECONDS)) {
+                Runtime.getRuntime().halt(EXIT_STOPPED);
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/node/src/main/java/org/fuchsiadeck/node/backend/Attempt.java
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/Attempt.java
@@ -1,6 +1,7 @@
 package org.fuchsiadeck.node.backend;
 
 import java.util.Optional;
+import java.util.function.Supplier;
 
 import org.fuchsiadeck.core.model.BackendReport;
 import org.fuchsiadeck.core.model.RequestId;
@@ -31,13 +32,13 @@
 
     private final Exchange exchange;
     private final RequestEffect.Dispatch dispatch;
-    private final HttpPacket request;
-    private final int resumedAt;
+    private final Supplier<Opening> opening;
     private final BackendIo io;
     private volatile Optional<BackendReport> report = Optional.empty();
     private Step step = Step.CONNECTING;
     private boolean ended;
     private boolean completed;
+    private int resumedAt;
     private HttpConnection connection;
     private Reply reply;
 
@@ -46,20 +47,43 @@
      *
      * @param exchange the caller's request
      * @param dispatch the attempt
-     * @param request what to write
-     * @param resumedAt tokens delivered before
+     * @param opening gives what to write, once there is a connection
      * @param io what attempts share
      */
-    Attempt(Exchange exchange, RequestEffect.Dispatch dispatch, HttpPacket request, int resumedAt, BackendIo io) {
+    Attempt(Exchange exchange, RequestEffect.Dispatch dispatch, Supplier<Opening> opening, BackendIo io) {
         this.exchange = exchange;
         this.dispatch = dispatch;
-        this.request = request;
-        this.resumedAt = resumedAt;
+        this.opening = opening;
         this.io = io;
     }
 
+    /**
+     * What an attempt begins with.
+     *
+     * @param request the request, whole
+     * @param resumedAt tokens delivered before
+     */
+    record Opening(HttpPacket request, int resumedAt) {}
+
     @Override
     public void connected(HttpConnection opened) {
+        if (isEnded()) {
+            io.release(opened);
+            return;
+        }
+        Opening first;
+        try {
+            first = opening.get();
+        } catch (RuntimeException e) {
+            fail(Kind.UNREACHABLE, "the request can't be written: " + e);
+            opened.close();
+            return;
+        }
+        resumedAt = first.resumedAt();
+        write(opened, first.request());
+    }
+
+    private void write(HttpConnection opened, HttpPacket packet) {
         boolean late;
         synchronized (this) {
             late = ended;
@@ -73,7 +97,7 @@
             io.release(opened);
             return;
         }
-        opened.send(request, this);
+        opened.send(packet, this);
     }
 
     @Override
@@ -112,7 +136,7 @@
         } else if (resumedAt > 0) {
             fail(Kind.SERVER_ERROR, "status " + head.status() + " to a resumed stream");
         } else {
-            reply = new PlainReply(head, io.maxAnswerBytes(), this::whole);
+            reply = new PlainReply(head, io.maxAnswerBytes(), this::gather, this::whole);
         }
     }
 
@@ -171,6 +195,14 @@
         fail(Kind.CLOSED, detail);
     }
 
+    private boolean gather(int bytes) {
+        if (exchange.gather(dispatch.attempt(), bytes)) {
+            return true;
+        }
+        fail(Kind.NO_ROOM, "the node holds too many bytes for its callers");
+        return false;
+    }
+
     private void whole(WholeAnswer answer) {
         exchange.whole(dispatch.attempt(), answer);
         complete(answer.status(), 0, 0);
--- a/node/src/main/java/org/fuchsiadeck/node/backend/BackendClient.java
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/BackendClient.java
@@ -2,6 +2,8 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import com.codahale.metrics.Counter;
@@ -30,6 +32,7 @@
     private final HttpClient client;
     private final Supplier<Configuration> configuration;
     private final BackendIo io;
+    private final ConnectionAges ages;
     private final Counter attempts;
     private final Counter reused;
 
@@ -53,28 +56,50 @@
         this.client = client;
         this.configuration = configuration;
         this.io = new BackendIo(events, log, metrics, maxAnswerBytes);
+        this.ages = new ConnectionAges(configuration, System::currentTimeMillis);
         this.attempts = metrics.counter("backend.attempts");
         this.reused = metrics.counter("backend.connections_reused");
     }
 
     /**
-     * Starts an attempt.
+     * Starts an attempt, which takes the place of all earlier ones of the request. If a KV cache is to be taken over, the
+     * earlier attempt goes on until the cache is exported.
      *
      * @param exchange the caller's request
      * @param dispatch the attempt
      */
     public void dispatch(Exchange exchange, RequestEffect.Dispatch dispatch) {
-        Configuration config = configuration.get();
-        CallerRequest call = exchange.call();
-        Journal journal = exchange.journal();
-        Route route = config.route(call.method(), call.path()).orElse(null);
-        HttpPacket request = RequestWriter.write(exchange, dispatch, route, journal);
-        Attempt attempt = new Attempt(exchange, dispatch, request, journal.tokens(), io);
+        AtomicReference<Optional<CacheHandle>> cache = new AtomicReference<>(Optional.empty());
+        Attempt attempt = new Attempt(exchange, dispatch, () -> opening(exchange, dispatch, cache.get()), io);
         if (!exchange.open(dispatch.attempt(), attempt)) {
             return;
         }
         attempts.inc();
-        connect(attempt, dispatch, config.defaults().connectionMaxAgeMs());
+        Consumer<Optional<CacheHandle>> go = handle -> {
+            cache.set(handle);
+            exchange.endEarlier(dispatch.attempt());
+            begin(attempt, dispatch);
+        };
+        dispatch.importFrom()
+                .ifPresentOrElse(
+                        from -> CacheHandle.export(client, from.address(), dispatch.id(), go),
+                        () -> go.accept(Optional.empty()));
+    }
+
+    private Attempt.Opening opening(Exchange exchange, RequestEffect.Dispatch dispatch, Optional<CacheHandle> cache) {
+        CallerRequest call = exchange.call();
+        Route route = configuration.get().route(call.method(), call.path()).orElse(null);
+        Journal journal = exchange.journal();
+        HttpPacket request = RequestWriter.write(exchange, dispatch, route, new RequestWriter.Past(journal, cache));
+        return new Attempt.Opening(request, journal.tokens());
+    }
+
+    private void begin(Attempt attempt, RequestEffect.Dispatch dispatch) {
+        try {
+            connect(attempt, dispatch, ages.maxMs(dispatch.backend()));
+        } catch (RuntimeException e) {
+            attempt.failed(e.toString());
+        }
     }
 
     private void connect(Attempt attempt, RequestEffect.Dispatch dispatch, long maxAgeMs) {
@@ -104,7 +129,8 @@
 
     /** Closes idle connections that are too old; called now and then. */
     public void sweep() {
-        io.sweep(configuration.get().defaults().connectionMaxAgeMs());
+        io.sweep(ages::maxMs);
+        ages.forget(io.pool().addresses());
     }
 
     /**
--- a/node/src/main/java/org/fuchsiadeck/node/client/PlainCall.java
+++ b/node/src/main/java/org/fuchsiadeck/node/client/PlainCall.java
@@ -14,21 +14,25 @@
 import org.glassfish.grizzly.http.Protocol;
 
 /**
- * One plain {@code GET} over a connection of its own.
+ * One plain {@code GET}, or {@code POST} without a body, over a connection of its own.
  */
 public final class PlainCall implements ConnectHandler, AnswerListener {
     private static final int OK = 200;
 
+    private final String method;
     private final Address address;
     private final String uri;
     private final int maxBytes;
-    private final Consumer<Either<String, byte[]>> result;
+    private final Consumer<Either<CallFailure, byte[]>> result;
     private final long startedNanos = System.nanoTime();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private HttpConnection connection;
+    private volatile CallFailure.Step step = CallFailure.Step.CONNECTING;
     private boolean ended;
 
-    private PlainCall(Address address, String uri, int maxBytes, Consumer<Either<String, byte[]>> result) {
+    private PlainCall(
+            String method, Address address, String uri, int maxBytes, Consumer<Either<CallFailure, byte[]>> result) {
+        this.method = method;
         this.address = address;
         this.uri = uri;
         this.maxBytes = maxBytes;
@@ -36,7 +40,7 @@
     }
 
     /**
-     * Starts a call.
+     * Starts a {@code GET}.
      *
      * @param client makes the connection
      * @param address the server
@@ -46,9 +50,35 @@
      * @return the call
      */
     public static PlainCall get(
-            HttpClient client, Address address, String uri, int maxBytes, Consumer<Either<String, byte[]>> result) {
-        PlainCall call = new PlainCall(address, uri, maxBytes, result);
-        client.connect(address, call);
+            HttpClient client,
+            Address address,
+            String uri,
+            int maxBytes,
+            Consumer<Either<CallFailure, byte[]>> result) {
+        return start(client, new PlainCall("GET", address, uri, maxBytes, result));
+    }
+
+    /**
+     * Starts a {@code POST} without a body.
+     *
+     * @param client makes the connection
+     * @param address the server
+     * @param uri the path and query
+     * @param maxBytes the longest answer, in bytes
+     * @param result takes the body of an answer with status 200, or what was seen instead; called once
+     * @return the call
+     */
+    public static PlainCall post(
+            HttpClient client,
+            Address address,
+            String uri,
+            int maxBytes,
+            Consumer<Either<CallFailure, byte[]>> result) {
+        return start(client, new PlainCall("POST", address, uri, maxBytes, result));
+    }
+
+    private static PlainCall start(HttpClient client, PlainCall call) {
+        client.connect(call.address, call);
         return call;
     }
 
@@ -67,7 +97,7 @@
      * @param detail why
      */
     public void cancel(String detail) {
-        end(Either.left(detail));
+        fail(detail);
     }
 
     @Override
@@ -79,27 +109,31 @@
                 return;
             }
         }
-        HttpRequestPacket head = HttpRequestPacket.builder()
-                .method("GET")
+        step = CallFailure.Step.AWAITING;
+        HttpRequestPacket.Builder head = HttpRequestPacket.builder()
+                .method(method)
                 .uri(uri)
                 .protocol(Protocol.HTTP_1_1)
                 .header("Host", address.toString())
-                .header("Connection", "close")
-                .build();
-        HttpPacket request = HttpContent.builder(head).last(true).build();
+                .header("Connection", "close");
+        if (method.equals("POST")) {
+            head.contentLength(0);
+        }
+        HttpPacket request = HttpContent.builder(head.build()).last(true).build();
         opened.send(request, this);
     }
 
     @Override
     public void failed(String detail) {
-        end(Either.left(detail));
+        fail(detail);
     }
 
     @Override
     public void onHead(HttpResponsePacket head) {
+        step = CallFailure.Step.READING;
         boolean delimited = head.isChunked() || head.getContentLength() >= 0;
         if (head.getStatus() != OK || !delimited) {
-            end(Either.left("status " + head.getStatus()));
+            fail("status " + head.getStatus());
         }
     }
 
@@ -108,7 +142,7 @@
         byte[] copy = new byte[part.remaining()];
         part.get(copy);
         if (body.size() + copy.length > maxBytes) {
-            end(Either.left("the answer is longer than " + maxBytes + " bytes"));
+            fail("the answer is longer than " + maxBytes + " bytes");
             return;
         }
         body.writeBytes(copy);
@@ -116,7 +150,8 @@
 
     @Override
     public void onBroken(String detail) {
-        end(Either.left(detail));
+        step = CallFailure.Step.READING;
+        fail(detail);
     }
 
     @Override
@@ -126,10 +161,14 @@
 
     @Override
     public void onLost(String detail) {
-        end(Either.left(detail));
+        fail(detail);
+    }
+
+    private void fail(String detail) {
+        end(Either.left(new CallFailure(address, step, detail)));
     }
 
-    private void end(Either<String, byte[]> outcome) {
+    private void end(Either<CallFailure, byte[]> outcome) {
         HttpConnection used;
         synchronized (this) {
             if (ended) {
--- a/node/src/main/java/org/fuchsiadeck/node/exchange/Exchange.java
+++ b/node/src/main/java/org/fuchsiadeck/node/exchange/Exchange.java
@@ -1,8 +1,9 @@
 package org.fuchsiadeck.node.exchange;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
+import java.util.Optional;
 
 import org.fuchsiadeck.core.model.RequestId;
 import org.fuchsiadeck.core.request.CallerRequest;
@@ -17,20 +18,16 @@
  * #relay} reaches the caller; what others send is held or dropped.
  */
 public final class Exchange {
-    private static final int PROGRESS_TOKENS = 64;
-    private static final long PROGRESS_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
-
     private final RequestId id;
     private final CallerRequest call;
     private final CallerBody body;
     private final CallerChannel caller;
     private final EventSink events;
+    private final ByteBudget.Account account;
     private final Map<Integer, Inbox> inboxes = new HashMap<>();
-    private final StringBuilder text = new StringBuilder();
+    private final StreamText text;
+    private final Progress progress = new Progress();
     private Inbox relayed;
-    private int delivered;
-    private int reported;
-    private long reportedNanos = System.nanoTime() - PROGRESS_NANOS;
     private boolean released;
 
     /**
@@ -41,13 +38,18 @@
      * @param body what only the data path needs
      * @param caller the way back
      * @param events takes reports of progress
+     * @param room what the exchange may hold
      */
-    public Exchange(RequestId id, CallerRequest call, CallerBody body, CallerChannel caller, EventSink events) {
+    public Exchange(
+            RequestId id, CallerRequest call, CallerBody body, CallerChannel caller, EventSink events, Room room) {
         this.id = requireNonNull(id, "id");
         this.call = requireNonNull(call, "call");
         this.body = requireNonNull(body, "body");
         this.caller = requireNonNull(caller, "caller");
         this.events = requireNonNull(events, "events");
+        this.account = room.budget().open();
+        this.text = new StreamText(room, account);
+        account.add(body.bytes().length);
         caller.onDrained(this::drained);
     }
 
@@ -84,7 +86,7 @@
      * @return the journal as it is now
      */
     public synchronized Journal journal() {
-        return new Journal(text.toString(), delivered);
+        return text.journal();
     }
 
     /**
@@ -98,7 +100,7 @@
         if (released) {
             return false;
         }
-        inboxes.put(attempt, new Inbox(attempt, control));
+        inboxes.put(attempt, new Inbox(attempt, control, account));
         return true;
     }
 
@@ -113,6 +115,22 @@
         return inbox == null ? null : inbox.control;
     }
 
+    /**
+     * Ends all attempts before one, because it takes their place.
+     *
+     * @param attempt the attempt
+     */
+    public void endEarlier(int attempt) {
+        List<AttemptControl> earlier;
+        synchronized (this) {
+            earlier = inboxes.values().stream()
+                    .filter(i -> i.attempt < attempt)
+                    .map(i -> i.control)
+                    .toList();
+        }
+        earlier.forEach(c -> c.fail(Failure.Kind.CLOSED, "replaced by attempt " + attempt));
+    }
+
     /**
      * Takes a token of an attempt: passes it on, or holds it until the attempt is chosen.
      *
@@ -134,6 +152,18 @@
         }
     }
 
+    /**
+     * Counts bytes of an attempt's plain answer before they are kept.
+     *
+     * @param attempt the attempt
+     * @param bytes how many there are
+     * @return false if the node has no room for them, so that the attempt must fail
+     */
+    public synchronized boolean gather(int attempt, int bytes) {
+        Inbox inbox = inboxes.get(attempt);
+        return inbox == null || inbox.gather(bytes);
+    }
+
     /**
      * Takes the event that ends an attempt's whole stream. It goes to the caller with {@link #endStream}.
      *
@@ -203,13 +233,21 @@
     }
 
     /**
-     * Forgets an attempt, so that nothing it sends reaches the caller.
+     * Forgets an attempt, so that nothing it sends reaches the caller. Reports first what it passed on: a retry is
+     * judged by it.
      *
      * @param attempt the attempt
      */
     public synchronized void forget(int attempt) {
         Inbox inbox = inboxes.remove(attempt);
-        if (inbox != null && inbox == relayed) {
+        if (inbox == null) {
+            return;
+        }
+        inbox.discard();
+        if (inbox == relayed) {
+            if (progress.unreported(text.tokens())) {
+                report();
+            }
             relayed = null;
         }
     }
@@ -225,16 +263,18 @@
         }
         open.values().forEach(i -> i.control.fail(Failure.Kind.CLOSED, "the request was released"));
         caller.abort();
+        account.close();
     }
 
     /** Reports that a stream which waits for its caller is in progress; called now and then. */
     public synchronized void reportWaiting() {
         if (relayed != null && relayed.paused()) {
-            report(System.nanoTime());
+            report();
         }
     }
 
     private void forward(Inbox inbox, Token token) {
+        int delivered = text.tokens();
         if (token.index() < delivered) {
             return;
         }
@@ -242,19 +282,20 @@
             inbox.control.fail(Failure.Kind.BAD_ANSWER, "token " + token.index() + " came after " + (delivered - 1));
             return;
         }
-        text.append(token.text());
-        delivered++;
+        Optional<StreamText.Overrun> overrun = text.append(token.text());
+        if (overrun.isPresent()) {
+            inbox.control.fail(overrun.get().kind(), overrun.get().detail());
+            return;
+        }
         caller.send(token.event());
-        long now = System.nanoTime();
-        if (delivered - reported >= PROGRESS_TOKENS || now - reportedNanos >= PROGRESS_NANOS) {
-            report(now);
+        if (progress.isDue(text.tokens())) {
+            report();
         }
     }
 
-    private void report(long nowNanos) {
-        reported = delivered;
-        reportedNanos = nowNanos;
-        events.post(new RequestEvent.Progressed(id, relayed.attempt, delivered));
+    private void report() {
+        progress.reported(text.tokens());
+        events.post(new RequestEvent.Progressed(id, relayed.attempt, text.tokens()));
     }
 
     private synchronized void drained() {
--- a/node/src/main/java/org/fuchsiadeck/node/front/CallerConnection.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerConnection.java
@@ -37,6 +37,9 @@
     private Phase phase = Phase.IDLE;
     private long sinceNanos = System.nanoTime();
     private long receivedBytes;
+    private boolean closed;
+    private int pendingBytes;
+    private long pendingNanos;
     private CallerResponse response;
     private Runnable onGone = () -> {};
     private Runnable onSlow;
@@ -77,14 +80,34 @@
         phase = Phase.READING;
     }
 
-    /** Notes that the request is whole; from now on its caller is watched. */
-    void answering(Runnable gone) throws IOException {
+    /**
+     * Notes that the request is whole. Returns false if it was given up before, so that it must not run.
+     */
+    synchronized boolean isWhole() {
+        if (closed || onSlow == null) {
+            return false;
+        }
+        phase = Phase.ANSWERING;
+        onSlow = null;
+        return true;
+    }
+
+    /** Watches the caller of a whole request. If it is gone already, the action runs at once. */
+    void watch(Runnable gone) {
+        boolean late;
         synchronized (this) {
-            phase = Phase.ANSWERING;
+            late = closed;
             onGone = gone;
-            onSlow = null;
         }
-        connection.enableIOEvent(IOEvent.READ);
+        if (late) {
+            gone.run();
+            return;
+        }
+        try {
+            connection.enableIOEvent(IOEvent.READ);
+        } catch (IOException e) {
+            connection.terminateSilently();
+        }
     }
 
     /** Notes that the answer was written. */
@@ -96,6 +119,9 @@
 
     private boolean next() {
         synchronized (this) {
+            if (response != null) {
+                response.flushed();
+            }
             response = null;
             onGone = () -> {};
             onSlow = null;
@@ -117,6 +143,7 @@
         CallerResponse open;
         Runnable gone;
         synchronized (this) {
+            closed = true;
             open = response;
             gone = onGone;
             response = null;
@@ -146,6 +173,7 @@
             long waitedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sinceNanos);
             boolean stalled = isStalled(waitedMs, slowMs, idleMs);
             slow = stalled && phase == Phase.READING ? onSlow : null;
+            onSlow = slow == null ? onSlow : null;
             close = stalled && slow == null;
         }
         if (slow != null) {
@@ -156,6 +184,23 @@
         }
     }
 
+    /** Gives up a caller who took no byte of its answer for some time. Called at each sweep while bytes are short. */
+    void sweepTight(long stuckMs) {
+        boolean stuck;
+        synchronized (this) {
+            long now = System.nanoTime();
+            int pending = ((NIOConnection) connection).getAsyncWriteQueue().spaceInBytes();
+            if (phase != Phase.ANSWERING || pending == 0 || pending != pendingBytes) {
+                pendingBytes = pending;
+                pendingNanos = now;
+            }
+            stuck = TimeUnit.NANOSECONDS.toMillis(now - pendingNanos) > stuckMs;
+        }
+        if (stuck) {
+            connection.terminateSilently();
+        }
+    }
+
     private boolean isStalled(long waitedMs, long slowMs, long idleMs) {
         return switch (phase) {
             case IDLE -> waitedMs > idleMs;
--- a/node/src/main/java/org/fuchsiadeck/node/front/CallerHandler.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerHandler.java
@@ -1,14 +1,11 @@
 package org.fuchsiadeck.node.front;
 
-import java.io.IOException;
 import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 
-import com.codahale.metrics.MetricRegistry;
-import org.fuchsiadeck.core.Effect;
-import org.fuchsiadeck.core.EventCode;
+import com.codahale.metrics.Meter;
 import org.fuchsiadeck.core.config.Configuration;
 import org.fuchsiadeck.core.config.Route;
 import org.fuchsiadeck.core.model.Backend;
@@ -21,10 +18,11 @@
 import org.fuchsiadeck.node.exchange.Exchange;
 import org.fuchsiadeck.node.exchange.Exchanges;
 import org.fuchsiadeck.node.exchange.Refusal;
-import org.fuchsiadeck.node.run.EffectHandler;
+import org.fuchsiadeck.node.exchange.Room;
 import org.fuchsiadeck.node.run.EventSink;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.http.Protocol;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.RequestExecutorProvider;
@@ -34,6 +32,7 @@
  * Takes callers' requests: reads and checks them, and hands them to the decisions.
  */
 final class CallerHandler extends HttpHandler {
+    private static final int BAD_REQUEST = 400;
     private static final int METHOD_NOT_ALLOWED = 405;
     private static final int REQUEST_TIMEOUT = 408;
     private static final int UNSUPPORTED_MEDIA_TYPE = 415;
@@ -44,22 +43,24 @@
     private final Exchanges exchanges;
     private final EventSink events;
     private final Supplier<Configuration> configuration;
-    private final EffectHandler<Effect.Log> log;
-    private final MetricRegistry metrics;
+    private final RefusalLog refusals;
+    private final Meter requests;
     private final Executor pump;
     private final BooleanSupplier draining;
     private final long maxBodyBytes;
+    private final Room room;
 
-    CallerHandler(Front front, RequestIds ids, Executor pump, BooleanSupplier draining) {
+    CallerHandler(Front front, RefusalLog refusals, RequestIds ids, Executor pump, BooleanSupplier draining) {
         this.ids = ids;
         this.exchanges = front.exchanges();
         this.events = front.events();
         this.configuration = front.configuration();
-        this.log = front.log();
-        this.metrics = front.metrics();
+        this.refusals = refusals;
+        this.requests = front.metrics().meter("front.requests");
         this.pump = pump;
         this.draining = draining;
         this.maxBodyBytes = front.limits().maxBodyBytes();
+        this.room = new Room(front.budget(), front.limits().maxBufferedBytes() / 2, Integer.MAX_VALUE);
         setDecodeUrl(false);
     }
 
@@ -70,7 +71,7 @@
 
     @Override
     public void service(Request request, Response response) {
-        metrics.meter("front.requests").mark();
+        requests.mark();
         RequestId id = ids.next();
         BadCallException bad = null;
         try {
@@ -81,13 +82,17 @@
         response.suspend();
         CallerConnection connection = CallerConnection.of(request.getContext().getConnection());
         CallerResponse answer =
-                new CallerResponse(response, request.getContext().getConnection(), id, pump, draining);
+                new CallerResponse(response, request.getContext().getConnection(), id, pump, draining, room.budget());
         connection.begin(answer, () -> refuse(answer, slow(), true));
         request.addAfterServiceListener(r -> whenFlushed(r, connection::answered));
         if (bad != null) {
             refuse(answer, bad.refusal(), true);
             return;
         }
+        if (room.budget().isTight()) {
+            refuse(answer, BodyReader.nodeFull(), true);
+            return;
+        }
         try {
             read(request, new Call(id, answer, connection));
         } catch (BadCallException e) {
@@ -115,6 +120,7 @@
         String path = request.getRequestURI();
         String method = request.getMethod().getMethodString();
         Configuration config = configuration.get();
+        CallerPath.check(path);
         Optional<Route> route = config.route(method, path);
         checkMethod(config, route, path);
         checkContentType(route, request);
@@ -129,67 +135,71 @@
         String uri = query == null ? path : path + "?" + query;
         Optional<String> contentType = Optional.ofNullable(request.getContentType());
         boolean engine = route.filter(r -> r.kind() == Backend.Kind.ENGINE).isPresent();
+        boolean streamable = request.getProtocol() == Protocol.HTTP_1_1;
         BodyReader reader = new BodyReader(
                 request.getNIOInputStream(),
                 limit,
+                call.answer()::takeBody,
                 bytes -> {
-                    Head head = new Head(method, path, team, key, engine);
+                    Head head = new Head(method, path, team, key, engine, streamable);
                     arrived(call, head, new CallerBody(uri, contentType, bytes));
                 },
                 refusal -> refuse(call.answer(), refusal, true));
         reader.start();
     }
 
-    private record Head(String method, String path, TeamId team, Optional<String> key, boolean engine) {}
+    private record Head(
+            String method, String path, TeamId team, Optional<String> key, boolean engine, boolean streamable) {}
 
     private void arrived(Call call, Head head, CallerBody body) {
         try {
-            CallerRequest request = parse(head, body);
-            accept(call, request, body);
+            if (!head.engine()) {
+                accept(call, request(head, body, false, Optional.empty()), body, room);
+                return;
+            }
+            CompletionReader read = CompletionReader.read(body.bytes());
+            if (read.stream() && !head.streamable()) {
+                throw new BadCallException(BAD_REQUEST, "bad_request", "A stream needs HTTP/1.1.");
+            }
+            CallerRequest request = request(head, body, read.stream(), Optional.of(read.completion()));
+            accept(call, request, body, room.forTokens(read.tokenLimit()));
         } catch (BadCallException e) {
             refuse(call.answer(), e.refusal(), false);
-        } catch (IOException e) {
-            call.answer().abort();
         }
     }
 
-    private static CallerRequest parse(Head head, CallerBody body) throws BadCallException {
+    private static CallerRequest request(
+            Head head, CallerBody body, boolean stream, Optional<CallerRequest.Completion> completion) {
         int length = body.bytes().length;
-        if (!head.engine()) {
-            return new CallerRequest(
-                    head.method(), head.path(), head.team(), head.key(), length, false, Optional.empty());
-        }
-        CompletionReader read = CompletionReader.read(body.bytes());
-        return new CallerRequest(
-                head.method(),
-                head.path(),
-                head.team(),
-                head.key(),
-                length,
-                read.stream(),
-                Optional.of(read.completion()));
+        return new CallerRequest(head.method(), head.path(), head.team(), head.key(), length, stream, completion);
     }
 
-    private void accept(Call call, CallerRequest request, CallerBody body) throws IOException {
+    private void accept(Call call, CallerRequest request, CallerBody body, Room allowed) {
+        if (!call.connection().isWhole()) {
+            return;
+        }
         RequestId id = call.id();
-        Exchange exchange = new Exchange(id, request, body, call.answer(), events);
-        if (!exchanges.add(exchange)) {
-            refuse(call.answer(), busy("request_id_in_use", "A request with this id is in progress."), false);
+        Exchange exchange = new Exchange(id, request, body, call.answer(), events, allowed);
+        call.answer().bodyPassedOn();
+        Exchanges.Added added = exchanges.add(exchange);
+        if (added != Exchanges.Added.YES) {
+            refuse(call.answer(), notAdded(added), false);
+            exchange.release();
             return;
         }
-        call.connection().answering(() -> events.post(new RequestEvent.CallerGone(id)));
         if (!events.offer(new RequestEvent.Arrived(id, request))) {
-            call.answer().refuse(busy("overloaded", "The node has too much to do."), false);
+            refuse(call.answer(), busy("overloaded", "The node has too much to do."), false);
             exchanges.release(id);
+            return;
         }
+        call.connection().watch(() -> events.post(new RequestEvent.CallerGone(id)));
     }
 
     private void refuse(CallerResponse answer, Refusal refusal, boolean close) {
         if (answer.isEnding()) {
             return;
         }
-        metrics.counter("front.refused." + refusal.reason()).inc();
-        log.handle(new Effect.Log(EventCode.BAD_REQUEST, refusal.status() + " " + refusal.reason()));
+        refusals.note(refusal);
         answer.refuse(refusal, close);
     }
 
@@ -213,6 +223,12 @@
         return new Refusal(Outcome.NOT_RUN, UNAVAILABLE, RETRY_AFTER_MS, reason, detail);
     }
 
+    private static Refusal notAdded(Exchanges.Added added) {
+        return added == Exchanges.Added.SAME_ID
+                ? busy("request_id_in_use", "A request with this id is in progress.")
+                : busy("too_many_streams", "The node has as many streams in progress as it may.");
+    }
+
     private static Refusal slow() {
         return Refusal.notRun(REQUEST_TIMEOUT, "slow_sender", "The request did not come in time.");
     }
--- a/node/src/test/java/org/fuchsiadeck/node/backend/AttemptTest.java
+++ b/node/src/test/java/org/fuchsiadeck/node/backend/AttemptTest.java
@@ -3,17 +3,24 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.stream.Stream;
 
 import com.codahale.metrics.MetricRegistry;
 import org.fuchsiadeck.core.Event;
+import org.fuchsiadeck.core.config.Configuration;
+import org.fuchsiadeck.core.config.ExceptionRule;
+import org.fuchsiadeck.core.config.Policy;
 import org.fuchsiadeck.core.model.Backend;
 import org.fuchsiadeck.core.model.BackendReport;
 import org.fuchsiadeck.core.model.RequestId;
 import org.fuchsiadeck.core.model.TeamId;
 import org.fuchsiadeck.core.request.CallerRequest;
+import org.fuchsiadeck.core.request.Failure;
 import org.fuchsiadeck.core.request.Failure.Kind;
 import org.fuchsiadeck.core.request.Failure.Step;
 import org.fuchsiadeck.core.request.RequestEffect.Dispatch;
@@ -23,8 +30,10 @@
 import org.fuchsiadeck.core.request.RequestEvent.AttemptFailed;
 import org.fuchsiadeck.core.request.RequestEvent.Writing;
 import org.fuchsiadeck.node.client.HttpClient;
+import org.fuchsiadeck.node.exchange.ByteBudget;
 import org.fuchsiadeck.node.exchange.CallerBody;
 import org.fuchsiadeck.node.exchange.Exchange;
+import org.fuchsiadeck.node.exchange.Room;
 import org.fuchsiadeck.node.testing.Await;
 import org.fuchsiadeck.node.testing.FakeServer;
 import org.fuchsiadeck.node.testing.RecordingChannel;
@@ -35,6 +44,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -47,6 +57,9 @@
     private final List<Event> events = new CopyOnWriteArrayList<>();
     private final MetricRegistry metrics = new MetricRegistry();
     private final RecordingChannel caller = new RecordingChannel();
+    private ByteBudget budget = new ByteBudget(1 << 20);
+    private int maxTokens = Integer.MAX_VALUE;
+    private int maxJournalBytes = 1 << 20;
     private HttpClient client;
     private BackendClient backends;
 
@@ -185,9 +198,9 @@
 
     @Test
     void reportsThatNothingWasWrittenWhenNoConnectionIsMade() throws Exception {
-        FakeServer gone = new FakeServer((m, s) -> {});
-        gone.close();
-        dispatch(exchange("r1", false), 1, gone, 0);
+        Backend gone = FakeServer.at(Sockets.freeAddress(), Backend.Kind.ENGINE);
+        Exchange exchange = exchange("r1", false);
+        backends.dispatch(exchange, new Dispatch(exchange.id(), 1, gone, 0, 1_000));
         AttemptFailed failed = await(AttemptFailed.class);
         assertThat(failed.failure().step()).isEqualTo(Step.CONNECTING);
         assertThat(failed.failure().kind()).isEqualTo(Kind.UNREACHABLE);
@@ -201,7 +214,12 @@
             Dispatch dispatch = new Dispatch(exchange.id(), 1, server.as(Backend.Kind.APPLICATION), 0, 1_000);
             BackendIo io = new BackendIo(events::add, log -> {}, metrics, MAX_ANSWER_BYTES);
             Attempt attempt = new Attempt(
-                    exchange, dispatch, RequestWriter.write(exchange, dispatch, null, exchange.journal()), 0, io);
+                    exchange,
+                    dispatch,
+                    () -> {
+                        throw new AssertionError("a cancelled attempt has nothing to write");
+                    },
+                    io);
             exchange.open(1, attempt);
             backends.cancel(exchange, 1);
             client.connect(server.address(), attempt);
@@ -295,6 +313,40 @@
         }
     }
 
+    @ParameterizedTest
+    @CsvSource({"200, true", "404, false"})
+    void takesTheCacheOfTheEarlierEngineOver(int status, boolean exported) throws Exception {
+        FakeServer.Script generate = tokens(0, 1);
+        FakeServer.Script leaving = (m, s) -> {
+            if (m.start().startsWith("POST /v1/kv/export/r1 ")) {
+                FakeServer.plain(m, s, status, "{\"handle\":\"h7\",\"tokens\":2}");
+            } else {
+                generate.serve(m, s);
+            }
+        };
+        try (FakeServer first = new FakeServer(leaving);
+                FakeServer second = new FakeServer(tokens(2).then((m, s) -> FakeServer.done(s, 3)))) {
+            Exchange exchange = exchange("r1", true);
+            dispatch(exchange, 1, first, 0);
+            await(AnswerStarted.class);
+            exchange.relay(1);
+            Await.until("two tokens are passed on", () -> exchange.journal().tokens() == 2);
+            events.clear();
+            Backend from = first.as(Backend.Kind.ENGINE);
+            Backend to = second.as(Backend.Kind.ENGINE);
+            backends.dispatch(exchange, new Dispatch(exchange.id(), 2, to, 0, 1_000, Optional.of(from)));
+            await(AnswerCompleted.class);
+            assertThat(all(AttemptFailed.class)).singleElement().matches(f -> f.attempt() == 1);
+            String sent = second.received.get(0).text();
+            assertThat(sent).contains("\"resume\":{\"text\":\"t0\\u00E9 t1\\u00E9 \",\"tokens\":2}");
+            assertThat(sent.contains("\"import\":{\"from\":\"" + first.address() + "\",\"handle\":\"h7\"}"))
+                    .isEqualTo(exported);
+            exchange.relay(2);
+            exchange.endStream();
+            assertThat(caller.text()).startsWith(event(0) + event(1) + event(2));
+        }
+    }
+
     @Test
     void passesOnNothingOfAnAttemptBeforeItIsChosenNorAfterItIsCancelled() throws Exception {
         try (FakeServer server = new FakeServer(tokens(0, 1))) {
@@ -308,6 +360,29 @@
         }
     }
 
+    @Test
+    void reportsAllTokensPassedOnBeforeTheEndOfTheAttempt() throws Exception {
+        CountDownLatch passedOn = new CountDownLatch(1);
+        FakeServer.Script cut = (m, s) -> {
+            await(passedOn);
+            s.close();
+        };
+        try (FakeServer server = new FakeServer(tokens(0, 1, 2).then(cut))) {
+            Exchange exchange = exchange("r1", true);
+            dispatch(exchange, 1, server, 0);
+            await(AnswerStarted.class);
+            exchange.relay(1);
+            Await.until("three tokens are passed on", () -> exchange.journal().tokens() == 3);
+            passedOn.countDown();
+            await(AttemptFailed.class);
+            List<Event> ends = events.stream()
+                    .filter(e -> e instanceof RequestEvent.Progressed || e instanceof AttemptFailed)
+                    .toList();
+            assertThat(ends).hasSizeGreaterThan(1);
+            assertThat(ends.get(ends.size() - 2)).isEqualTo(new RequestEvent.Progressed(exchange.id(), 1, 3));
+        }
+    }
+
     @Test
     void stopsReadingWhileTheCallerIsFull() throws Exception {
         int[] many = java.util.stream.IntStream.range(0, 20_000).toArray();
@@ -317,10 +392,12 @@
             dispatch(exchange, 1, server, 0);
             await(AnswerStarted.class);
             exchange.relay(1);
+            Await.until("reading has stopped", () -> {
+                exchange.reportWaiting();
+                return !all(RequestEvent.Progressed.class).isEmpty();
+            });
             int stopped = exchange.journal().tokens();
             assertThat(stopped).isLessThan(many.length);
-            exchange.reportWaiting();
-            assertThat(all(RequestEvent.Progressed.class)).isNotEmpty();
             assertThat(all(AnswerCompleted.class)).isEmpty();
             caller.drain();
             await(AnswerCompleted.class);
@@ -328,6 +405,75 @@
         }
     }
 
+    @Test
+    void failsAStreamOfMoreTokensThanWereAskedFor() throws Exception {
+        maxTokens = 2;
+        assertThat(failureOfAStream(tokens(0, 1, 2)).detail()).contains("more than the 2 tokens");
+        assertThat(failureOfAStream(tokens(0, 1, 2)).kind()).isEqualTo(Kind.BAD_ANSWER);
+    }
+
+    @Test
+    void failsAStreamWhoseTextIsTooLong() throws Exception {
+        maxJournalBytes = 15;
+        assertThat(failureOfAStream(tokens(0, 1)).detail()).contains("longer than 15 bytes");
+    }
+
+    private Failure failureOfAStream(FakeServer.Script script) throws Exception {
+        events.clear();
+        try (FakeServer server = new FakeServer(script)) {
+            Exchange exchange = exchange("r1", true);
+            dispatch(exchange, 1, server, 0);
+            await(AnswerStarted.class);
+            exchange.relay(1);
+            return await(AttemptFailed.class).failure();
+        }
+    }
+
+    @Test
+    void givesUpALargeAnswerOnlyWhenTheNodeHasNoRoomForIt() throws Exception {
+        String large = "x".repeat(ByteBudget.SMALL_BYTES + 1);
+        backends = new BackendClient(
+                client, events::add, () -> TestNode.CONFIGURATION, log -> {}, metrics, large.length());
+        try (FakeServer server = new FakeServer((m, s) -> FakeServer.plain(m, s, 200, large))) {
+            complete(server, "r1", 0);
+            budget = new ByteBudget(1);
+            events.clear();
+            Exchange exchange = exchange("r2", false);
+            dispatch(exchange, 1, server, 0);
+            assertThat(await(AttemptFailed.class).failure().kind()).isEqualTo(Kind.NO_ROOM);
+            exchange.release();
+            assertThat(budget.held()).isZero();
+        }
+    }
+
+    @Test
+    void takesASmallAnswerThoughTheNodeHasNoRoom() throws Exception {
+        budget = new ByteBudget(1);
+        try (FakeServer server = new FakeServer((m, s) -> FakeServer.plain(m, s, 200, "x".repeat(MAX_ANSWER_BYTES)))) {
+            complete(server, "r1", 0);
+        }
+    }
+
+    @Test
+    void keepsConnectionsForTheTimeOfTheirZone() throws Exception {
+        ExceptionRule rule = new ExceptionRule(
+                "connections are lost",
+                Map.of("zone", "dumdum"),
+                Map.of("connection_max_age_ms", 1L),
+                OptionalLong.empty());
+        Configuration config = new Configuration(2, Policy.DEFAULT, List.of(rule), List.of(), List.of());
+        backends = new BackendClient(client, events::add, () -> config, log -> {}, metrics, MAX_ANSWER_BYTES);
+        try (FakeServer server = new FakeServer((m, s) -> FakeServer.plain(m, s, 200, "{}"))) {
+            complete(server, "r1", FRESH_MS);
+            Await.until(
+                    "the connection is kept", () -> !backends.idleConnections().isEmpty());
+            Await.until("the connection is closed", () -> {
+                backends.sweep();
+                return backends.idleConnections().isEmpty();
+            });
+        }
+    }
+
     private void complete(FakeServer server, String id, long freshMs) throws Exception {
         events.clear();
         Exchange exchange = exchange(id, false);
@@ -339,7 +485,8 @@
         CallerRequest call =
                 new CallerRequest("POST", "/assistant", new TeamId("t"), Optional.empty(), 2, stream, Optional.empty());
         CallerBody body = new CallerBody("/assistant", Optional.of("application/json"), "{}".getBytes());
-        return new Exchange(new RequestId(id), call, body, caller, events::add);
+        Room room = new Room(budget, maxJournalBytes, maxTokens);
+        return new Exchange(new RequestId(id), call, body, caller, events::add, room);
     }
 
     private void dispatch(Exchange exchange, int attempt, FakeServer server, long freshMs) {
@@ -347,6 +494,14 @@
         backends.dispatch(exchange, new Dispatch(exchange.id(), attempt, backend, freshMs, 1_000));
     }
 
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private <E extends Event> E await(Class<E> type) throws Exception {
         Await.until(type.getSimpleName(), () -> !all(type).isEmpty());
         return all(type).get(0);
--- a/node/src/test/java/org/fuchsiadeck/node/peer/PeerCodecsTest.java
+++ b/node/src/test/java/org/fuchsiadeck/node/peer/PeerCodecsTest.java
@@ -12,12 +12,16 @@
 import org.fuchsiadeck.core.membership.Member;
 import org.fuchsiadeck.core.membership.MembershipMessage;
 import org.fuchsiadeck.core.model.Address;
+import org.fuchsiadeck.core.model.BackendId;
 import org.fuchsiadeck.core.model.NodeId;
 import org.fuchsiadeck.core.model.Zone;
+import org.fuchsiadeck.core.request.LeavingBackend;
+import org.fuchsiadeck.node.testing.WireCopy;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -54,6 +58,13 @@
         assertThat(readBack(ping)).isEqualTo(ping);
     }
 
+    @ParameterizedTest
+    @ValueSource(longs = {LeavingBackend.UNKNOWN, 0, 30_000})
+    void readsBackThatABackendServerLeaves(long leftMs) throws InvalidProtocolBufferException {
+        LeavingBackend news = new LeavingBackend(new BackendId("engine-1"), leftMs);
+        assertThat(WireCopy.of(DepartureCodecs.all(), news)).isEqualTo(news);
+    }
+
     @Test
     void refusesAnEmptyPayloadWhereFieldsAreNeeded() {
         for (MessageCodec<?> codec : MembershipCodecs.all()) {
@@ -62,6 +73,30 @@
         }
     }
 
+    @Test
+    void framesOfAClaimStaySmall() {
+        ClaimId id = new ClaimId(new NodeId("entry-howrah-1-0123456789abcdef"), 100_000);
+        String key = "board/meal-entries/0f8fad5b-d9cb-469f-a165-70867728950e";
+        List<PeerMessage> claim = List.of(
+                new ClaimMessage.Request(id, key, 100_000),
+                new ClaimMessage.Reply(id, ClaimMessage.Verdict.GRANTED, 100_000),
+                new ClaimMessage.Settle(id, key, ClaimStatus.ANSWERED),
+                new ClaimMessage.SettleAck(id));
+        int total = 0;
+        for (PeerMessage message : claim) {
+            int bytes = frameBytes(message);
+            total += bytes;
+            System.out.println(message.getClass().getSimpleName() + " frame bytes: " + bytes);
+        }
+        assertThat(total).isLessThan(1_000);
+    }
+
+    private static int frameBytes(PeerMessage message) {
+        MessageCodec<?> codec = CODECS.of(message);
+        String id = "entry-howrah-1-0123456789abcdef";
+        return Wire.frame(id, id, codec.number(), codec.encoded(message)).getSerializedSize();
+    }
+
     static List<PeerMessage> messages() {
         Member a = member(Member.Status.ALIVE);
         Member b = member(Member.Status.SUSPECT);
