--- a/scenarios/src/test/java/org/fuchsiadeck/scenarios/RolloutTest.java
+++ b/scenarios/src/test/java/org/fuchsiadeck/scenarios/RolloutTest.java
@@ -4,7 +4,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -175,14 +177,16 @@
         }
     }
 
+    /** Counts the requests that met the new version; a request that is tried again counts once. */
     private int newRequests() {
-        int sum = 0;
+        Set<String> ids = new HashSet<>();
         for (int i = 0; i < NEW_SERVERS; i++) {
-            sum += howrah.testbed().engine("new-" + i).audit().started().values().stream()
-                    .mapToInt(Integer::intValue)
-                    .sum();
+            for (String attempt :
+                    howrah.testbed().engine("new-" + i).audit().started().keySet()) {
+                ids.add(attempt.substring(0, attempt.lastIndexOf('/')));
+            }
         }
-        return sum;
+        return ids.size();
     }
 
     private java.util.Optional<RolloutBook> stored() {
