--- a/cli/src/main/java/org/fuchsiadeck/cli/load/Summarizer.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/load/Summarizer.java
@@ -63,6 +63,7 @@
                 Times.of(plain, Result::latencyNs),
                 figures(r -> r.planned().team()),
                 figures(r -> r.planned().request().name()),
+                figures(r -> r.planned().team() + "/" + r.planned().request().name()),
                 Prefill.of(seen.results()),
                 audit,
                 actions,
--- a/cli/src/main/java/org/fuchsiadeck/cli/load/Summary.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/load/Summary.java
@@ -27,6 +27,7 @@
  * @param plain time to plain answers
  * @param teams figures of each team
  * @param requests figures of each kind of request
+ * @param teamRequests figures of each kind of request of each team, by {@code team/kind}
  * @param prefill what engines computed of the prompts
  * @param audit promises broken
  * @param actions what was done during the run, and with what answer
@@ -55,6 +56,7 @@
         Quantiles plain,
         Map<String, Figures> teams,
         Map<String, Figures> requests,
+        Map<String, Figures> teamRequests,
         Prefill prefill,
         Audit audit,
         List<String> actions,
--- a/cli/src/main/java/org/fuchsiadeck/cli/load/Table.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/load/Table.java
@@ -53,14 +53,14 @@
         return out.toString();
     }
 
-    /** Returns a line for each team in place of one for each router and rate. */
+    /** Returns a line for each team, and for each kind of request of it, in place of one for each router and rate. */
     static String ofTeams(Collection<Summary> runs) {
         StringBuilder out = new StringBuilder("| experiment | rate/s | router | team | runs | offered | refused "
                 + "| within goals % | first token p95 ms | plain p95 ms |\n"
                 + "|---|---|---|---|---|---|---|---|---|---|\n");
         new TreeMap<>(runs.stream().collect(groupingBy(Table::key))).forEach((key, group) -> {
             Summary first = group.get(0);
-            first.teams().keySet().forEach(team -> {
+            parts(first).keySet().forEach(team -> {
                 out.append("| ").append(first.experiment());
                 out.append(" | ").append(number(first.ratePerS(), 0));
                 out.append(" | ").append(first.router());
@@ -75,13 +75,19 @@
         return out.toString();
     }
 
+    private static Map<String, Summary.Figures> parts(Summary s) {
+        Map<String, Summary.Figures> out = new TreeMap<>(s.teams());
+        out.putAll(s.teamRequests());
+        return out;
+    }
+
     private static List<Column> teamColumns(String team) {
         return List.of(
-                new Column("offered", 0, s -> s.teams().get(team).offered()),
-                new Column("refused", 0, s -> s.teams().get(team).refused()),
-                new Column("within", 1, s -> 100 * s.teams().get(team).shareWithinGoals()),
-                new Column("first", 0, s -> s.teams().get(team).firstToken().p95()),
-                new Column("plain", 0, s -> s.teams().get(team).plain().p95()));
+                new Column("offered", 0, s -> parts(s).get(team).offered()),
+                new Column("refused", 0, s -> parts(s).get(team).refused()),
+                new Column("within", 1, s -> 100 * parts(s).get(team).shareWithinGoals()),
+                new Column("first", 0, s -> parts(s).get(team).firstToken().p95()),
+                new Column("plain", 0, s -> parts(s).get(team).plain().p95()));
     }
 
     private static String key(Summary s) {
