Write down what all nodes have spent, and read it at start

Cause: after a loss of all nodes their counts are gone. Ruled out: a slow start (a configuration is in force 0.35 s after the first line), too few servers (6 of them free). Change: the holder of the duties writes the use of all nodes each second; a node that starts reads it once and counts it in place of the full rate, while no run is heard that began before it. What came before, known or not, is shared among the nodes as the rest of the limit is. Refusals for a quota log units, use, limit and nodes heard. Usage windows that were begun before the loss are kept the same way.

--- a/core/src/main/java/org/fuchsiadeck/core/duty/DutyReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/duty/DutyReducer.java
@@ -56,6 +56,11 @@
             out.addAll(holding.effects());
             next = next.with(holding.holding());
         }
+        if (next.holding().holds(view)) {
+            UseDuty.Update use = next.use().act(view);
+            out.addAll(use.effects());
+            next = next.with(use.duty());
+        }
         if (next.holding().mayAct(view, next.rules().leaseMs())) {
             next = act(next, view, out);
         }
@@ -87,7 +92,8 @@
         out.addAll(holding.effects());
         DutyState next = state.with(keys.mirror())
                 .with(holding.holding())
-                .with(state.usage().returned(view.nowMs(), event));
+                .with(state.usage().returned(view.nowMs(), event))
+                .with(state.use().returned(view.nowMs(), event));
         return new Step<>(next, out);
     }
 
--- a/core/src/main/java/org/fuchsiadeck/core/duty/DutyState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/duty/DutyState.java
@@ -12,8 +12,9 @@
  * @param holding whether this node holds the duties
  * @param usage the reports of use
  * @param orders the orders of backend servers
+ * @param use the records of what is spent
  */
-public record DutyState(DutyRules rules, Mirror keys, Holding holding, UsageDuty usage, OrderDuty orders) {
+public record DutyState(DutyRules rules, Mirror keys, Holding holding, UsageDuty usage, OrderDuty orders, UseDuty use) {
     static final String PREFIX = "duty/";
 
     /** The holder changes seldom, and its lease bounds what can go wrong meanwhile. */
@@ -25,6 +26,7 @@
         requireNonNull(holding, "holding");
         requireNonNull(usage, "usage");
         requireNonNull(orders, "orders");
+        requireNonNull(use, "use");
     }
 
     /**
@@ -34,26 +36,31 @@
      * @return the state
      */
     public static DutyState initial(DutyRules rules) {
-        return new DutyState(rules, Mirror.of(PREFIX, WATCH_WAIT_MS), Holding.NONE, UsageDuty.NONE, OrderDuty.NONE);
+        return new DutyState(
+                rules, Mirror.of(PREFIX, WATCH_WAIT_MS), Holding.NONE, UsageDuty.NONE, OrderDuty.NONE, UseDuty.NONE);
     }
 
     DutyState with(DutyRules next) {
-        return new DutyState(next, keys, holding, usage, orders);
+        return new DutyState(next, keys, holding, usage, orders, use);
     }
 
     DutyState with(Mirror next) {
-        return new DutyState(rules, next, holding, usage, orders);
+        return new DutyState(rules, next, holding, usage, orders, use);
     }
 
     DutyState with(Holding next) {
-        return new DutyState(rules, keys, next, usage, orders);
+        return new DutyState(rules, keys, next, usage, orders, use);
     }
 
     DutyState with(UsageDuty next) {
-        return new DutyState(rules, keys, holding, next, orders);
+        return new DutyState(rules, keys, holding, next, orders, use);
     }
 
     DutyState with(OrderDuty next) {
-        return new DutyState(rules, keys, holding, usage, next);
+        return new DutyState(rules, keys, holding, usage, next, use);
+    }
+
+    DutyState with(UseDuty next) {
+        return new DutyState(rules, keys, holding, usage, orders, next);
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/duty/Holding.java
+++ b/core/src/main/java/org/fuchsiadeck/core/duty/Holding.java
@@ -49,10 +49,16 @@
      */
     record Update(Holding holding, List<Effect> effects) {}
 
-    boolean mayAct(View view, long leaseMs) {
+    /** Tells whether the node holds the duties; an earlier holder's calls may still be on their way. */
+    boolean holds(View view) {
         boolean held = lease.filter(k -> k.held(view.nowMs(), MARGIN_MS)).isPresent();
         boolean awake = Math.abs(view.wallMs() - view.nowMs() - provenOffsetMs) < MAX_DRIFT_MS;
-        return held && awake && view.nowMs() >= heldMs + leaseMs;
+        return held && awake;
+    }
+
+    /** Tells whether the node may make calls that only one holder may make. */
+    boolean mayAct(View view, long leaseMs) {
+        return holds(view) && view.nowMs() >= heldMs + leaseMs;
     }
 
     long fence() {
--- a/core/src/main/java/org/fuchsiadeck/core/duty/OrderDuty.java
+++ b/core/src/main/java/org/fuchsiadeck/core/duty/OrderDuty.java
@@ -15,6 +15,7 @@
 import org.fuchsiadeck.core.model.Backend;
 import org.fuchsiadeck.core.model.BackendId;
 import org.fuchsiadeck.core.model.Zone;
+import org.fuchsiadeck.core.platform.PendingCall;
 
 import static java.util.Objects.requireNonNull;
 
@@ -37,7 +38,7 @@
         io.vavr.collection.Map<Subject, Long> withheld,
         Subject asked,
         int askedCount,
-        Pending call,
+        PendingCall call,
         long sequence) {
     static final OrderDuty NONE = new OrderDuty(
             List.of(),
@@ -46,7 +47,7 @@
             io.vavr.collection.HashMap.empty(),
             null,
             0,
-            Pending.NONE,
+            PendingCall.NONE,
             0);
 
     private static final long SAMPLE_MS = 500;
@@ -147,7 +148,7 @@
         boolean none = event.result() == DutyEvent.Result.NONE_TO_BE_HAD;
         io.vavr.collection.Map<Subject, Integer> taken = done ? ordered.put(asked, askedCount) : ordered;
         io.vavr.collection.Map<Subject, Long> kept = none ? withheld.put(asked, nowMs + NONE_TO_BE_HAD_MS) : withheld;
-        Pending next = done || none ? Pending.NONE : Pending.pause(nowMs, RETRY_MS);
+        PendingCall next = done || none ? PendingCall.NONE : PendingCall.pause(nowMs, RETRY_MS);
         Effect log = new Effect.Log(
                 done ? EventCode.SERVERS_ORDERED : EventCode.DUTY_CALL_FAILED,
                 asked.service() + " in " + asked.place().zone()
@@ -167,7 +168,7 @@
                 subject.place().reclaimable(),
                 count);
         OrderDuty next = new OrderDuty(
-                servers, samples, ordered, withheld, subject, count, Pending.call(tag, nowMs), sequence + 1);
+                servers, samples, ordered, withheld, subject, count, PendingCall.call(tag, nowMs), sequence + 1);
         return new Update(next, List.of(effect));
     }
 
--- a/core/src/main/java/org/fuchsiadeck/core/duty/UsageDuty.java
+++ b/core/src/main/java/org/fuchsiadeck/core/duty/UsageDuty.java
@@ -11,6 +11,7 @@
 import org.fuchsiadeck.core.EventCode;
 import org.fuchsiadeck.core.View;
 import org.fuchsiadeck.core.model.TeamId;
+import org.fuchsiadeck.core.platform.PendingCall;
 import org.fuchsiadeck.core.platform.PlatformEffect;
 import org.fuchsiadeck.core.platform.PlatformEvent;
 
@@ -25,9 +26,9 @@
  * @param call the report in progress
  * @param sequence calls made so far
  */
-record UsageDuty(TreeSet<Long> reported, Pending write, Pending call, long sequence) {
+record UsageDuty(TreeSet<Long> reported, PendingCall write, PendingCall call, long sequence) {
     static final String KEY = "duty/usage";
-    static final UsageDuty NONE = new UsageDuty(TreeSet.empty(), Pending.NONE, Pending.NONE, 0);
+    static final UsageDuty NONE = new UsageDuty(TreeSet.empty(), PendingCall.NONE, PendingCall.NONE, 0);
 
     /** Nodes tell each other a few times a second what was begun, so all is known this long after a window's end. */
     private static final long SETTLE_MS = 1_500;
@@ -87,7 +88,7 @@
         boolean done = event.result() == DutyEvent.Result.DONE;
         TreeSet<Long> all = done ? reported.add(window) : reported;
         TreeSet<Long> kept = all.size() > KEPT ? all.tail() : all;
-        Pending next = done ? Pending.NONE : Pending.pause(nowMs, RETRY_MS);
+        PendingCall next = done ? PendingCall.NONE : PendingCall.pause(nowMs, RETRY_MS);
         Effect log = new Effect.Log(
                 done ? EventCode.USAGE_REPORTED : EventCode.DUTY_CALL_FAILED,
                 "usage of window " + window + " " + event.detail());
@@ -95,24 +96,21 @@
     }
 
     UsageDuty returned(long nowMs, PlatformEvent event) {
-        String tag = event instanceof PlatformEvent.Written w
-                ? w.tag()
-                : event instanceof PlatformEvent.Conflicted c
-                        ? c.tag()
-                        : event instanceof PlatformEvent.CallFailed f ? f.tag() : "";
-        return write.awaits(tag) ? new UsageDuty(reported, Pending.pause(nowMs, RETRY_MS), call, sequence) : this;
+        return write.endsWith(event)
+                ? new UsageDuty(reported, PendingCall.pause(nowMs, RETRY_MS), call, sequence)
+                : this;
     }
 
     private Update report(long nowMs, long fence, long window, Map<TeamId, Long> counts) {
         String tag = "usage/" + window + "/" + sequence;
         List<Effect> out = new ArrayList<>();
         out.add(new DutyEffect.ReportUsage(tag, fence, window, counts));
-        return new Update(new UsageDuty(reported, write, Pending.call(tag, nowMs), sequence + 1), out);
+        return new Update(new UsageDuty(reported, write, PendingCall.call(tag, nowMs), sequence + 1), out);
     }
 
     private Update written(long nowMs, UsageBook book, Optional<Long> revision) {
         String tag = "duty/write/" + sequence;
         Effect put = new PlatformEffect.Put(tag, KEY, book.write(), OptionalLong.of(revision.orElse(0L)));
-        return new Update(new UsageDuty(reported, Pending.call(tag, nowMs), call, sequence + 1), List.of(put));
+        return new Update(new UsageDuty(reported, PendingCall.call(tag, nowMs), call, sequence + 1), List.of(put));
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/request/Ending.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Ending.java
@@ -136,6 +136,7 @@
         Map<String, Object> inputs = new LinkedHashMap<>();
         inputs.put("status", refusal.status());
         inputs.put("retry_after_ms", refusal.retryAfterMs());
+        inputs.putAll(refusal.inputs());
         inputs.put("servers", listed);
         inputs.put("servers_suspected", suspected);
         inputs.put("servers_leaving", leaving);
--- a/core/src/main/java/org/fuchsiadeck/core/request/Quotas.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Quotas.java
@@ -1,9 +1,12 @@
 package org.fuchsiadeck.core.request;
 
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.Optional;
 
 import org.fuchsiadeck.core.config.Quota;
 import org.fuchsiadeck.core.config.Team;
+import org.fuchsiadeck.core.share.ShareState.Room;
 
 /**
  * Holds teams to their quotas, which all nodes share.
@@ -11,6 +14,7 @@
 final class Quotas {
     private static final int TOO_MANY = 429;
     private static final long MIN_RETRY_AFTER_MS = 100;
+    private static final double MS_PER_SECOND = 1_000;
 
     private Quotas() {}
 
@@ -18,12 +22,23 @@
         Team team = Policies.team(turn.view(), exchange.call().team());
         Quota quota = team.quota();
         long units = units(exchange, quota);
-        if (turn.view().use().allows(turn.nowMs(), team.id(), quota, units)) {
+        if (!quota.limited()) {
             return Optional.empty();
         }
-        long waitMs = turn.view().use().waitMs(turn.nowMs(), team.id(), quota, units);
+        Room room = turn.view().use().room(turn.nowMs(), team.id(), quota);
+        double over = room.over(units);
+        if (over <= 0) {
+            return Optional.empty();
+        }
+        long waitMs = Math.round(over / quota.ratePerSecond() * MS_PER_SECOND);
         long retryMs = turn.spread(Math.max(MIN_RETRY_AFTER_MS, waitMs));
-        return Optional.of(new Refusal(TOO_MANY, "over_quota", retryMs));
+        Map<String, Object> inputs = new LinkedHashMap<>();
+        inputs.put("team", team.id());
+        inputs.put("units", units);
+        inputs.put("used", Math.round(room.used()));
+        inputs.put("limit", Math.round(room.limit()));
+        inputs.put("nodes_heard", room.heard());
+        return Optional.of(new Refusal(TOO_MANY, "over_quota", retryMs, inputs));
     }
 
     static long units(Exchange exchange, Quota quota) {
--- a/core/src/main/java/org/fuchsiadeck/core/share/ShareReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/share/ShareReducer.java
@@ -44,13 +44,20 @@
         if (event instanceof PlatformEvent.Listed listed && !listed.nodes().isEmpty()) {
             return Step.of(state.withNodes(listed.nodes().size()));
         }
+        if (event instanceof PlatformEvent returned) {
+            Past.Update past = state.past().returned(view, returned);
+            return new Step<>(state.with(past.past()), past.effects());
+        }
         if (event instanceof SettingsEvent.Changed changed) {
             return Step.of(state.with(changed.sharing()));
         }
         if (event instanceof Lifecycle.Started) {
             ShareState started =
                     state.with(state.own().started(now, view.wallMs())).withOffset(view.wallMs() - now);
-            return Step.of(started, new Effect.Schedule(now + REPORT_MS, new ShareEvent.Tick()));
+            Past.Update past = started.past().tick(now, now, state.rules().quotaWindowMs());
+            List<Effect> out = new ArrayList<>(past.effects());
+            out.add(new Effect.Schedule(now + REPORT_MS, new ShareEvent.Tick()));
+            return new Step<>(started.with(past.past()), out);
         }
         return Step.of(state);
     }
@@ -79,13 +86,16 @@
         Map<Run, Heard> kept = state.heard().filterValues(h -> now - h.atMs() < KEPT_MS);
         ShareState next = timed(state.with(kept), view);
         List<Effect> out = new ArrayList<>();
+        Past.Update past =
+                next.past().tick(now, next.own().startedMs(), next.rules().quotaWindowMs());
+        out.addAll(past.effects());
         ShareReport report = report(next, view);
         for (NodeId peer : view.peers().alive().keySet()) {
             out.add(new Effect.Send(peer, report));
         }
         long pause = REPORT_MS + REPORT_MS_PER_PEER * view.peers().alive().size() / 2;
         out.add(new Effect.Schedule(now + pause, new ShareEvent.Tick()));
-        return new Step<>(next, out);
+        return new Step<>(next.with(past.past()), out);
     }
 
     private static ShareState timed(ShareState state, View view) {
--- a/core/src/main/java/org/fuchsiadeck/core/share/ShareState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/share/ShareState.java
@@ -1,6 +1,9 @@
 package org.fuchsiadeck.core.share;
 
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 
 import io.vavr.collection.HashMap;
 import io.vavr.collection.Map;
@@ -20,8 +23,9 @@
  * @param heard the last report of each run of each other node
  * @param nodes how many entry nodes are registered, this one included
  * @param offsetMs the time of day less this node's monotonic clock, as most nodes see it, in milliseconds
+ * @param past what was spent before any of these runs
  */
-public record ShareState(ShareRules rules, OwnUse own, Map<Run, Heard> heard, int nodes, long offsetMs) {
+public record ShareState(ShareRules rules, OwnUse own, Map<Run, Heard> heard, int nodes, long offsetMs, Past past) {
     /** Part of what a quota may be exceeded by that is given out; the rest is for nodes that decide at the same time. */
     private static final double USED_SPARE = 0.4;
 
@@ -31,6 +35,9 @@
     /** Part of the slack that is used: nodes decide at the same time, on reports that lag behind. */
     private static final double SAFE_SLACK = 0.5;
 
+    /** Usage windows that are written down: those whose report may still be due. */
+    private static final int KEPT_WINDOWS = 4;
+
     /** A report older than this says nothing of the present: a few times the time between reports. */
     static final long FRESH_MS = 1_500;
 
@@ -38,6 +45,7 @@
         requireNonNull(rules, "rules");
         requireNonNull(own, "own");
         requireNonNull(heard, "heard");
+        requireNonNull(past, "past");
     }
 
     /**
@@ -71,34 +79,38 @@
      * @return the state
      */
     public static ShareState initial(ShareRules rules) {
-        return new ShareState(rules, OwnUse.NONE, HashMap.empty(), 1, 0);
+        return new ShareState(rules, OwnUse.NONE, HashMap.empty(), 1, 0, Past.UNREAD);
     }
 
     /**
-     * Tells whether a team may spend more.
+     * What a team has spent and may spend, as far as this node can see to it.
      *
-     * @param nowMs the time, in milliseconds
-     * @param team the team
-     * @param quota the team's quota
-     * @param units what it would spend
-     * @return whether all nodes together stay within the quota
+     * @param used units in the quota window
+     * @param limit units that may be spent in it
+     * @param heard nodes that this one hears, itself included
      */
-    public boolean allows(long nowMs, TeamId team, Quota quota, long units) {
-        return !quota.limited() || used(nowMs, team, quota) + units <= limit(nowMs, quota);
+    public record Room(double used, double limit, int heard) {
+        /**
+         * Tells by how much a request would exceed the limit.
+         *
+         * @param units what the request counts for
+         * @return units; 0 if it fits
+         */
+        public double over(long units) {
+            return Math.max(0, used + units - limit);
+        }
     }
 
     /**
-     * Returns how long it takes until a team may spend more, at its rate.
+     * Returns what a team has spent and may spend.
      *
      * @param nowMs the time, in milliseconds
      * @param team the team
-     * @param quota the team's quota
-     * @param units what it would spend
-     * @return milliseconds
+     * @param quota the team's quota, which has a limit
+     * @return both, over all nodes as far as they are heard
      */
-    public long waitMs(long nowMs, TeamId team, Quota quota, long units) {
-        double over = used(nowMs, team, quota) + units - limit(nowMs, quota);
-        return Math.max(0, Math.round(over / quota.ratePerSecond() * 1_000));
+    public Room room(long nowMs, TeamId team, Quota quota) {
+        return new Room(used(nowMs, team, quota), limit(nowMs, quota), hearing(nowMs));
     }
 
     /**
@@ -167,6 +179,9 @@
     public java.util.Map<TeamId, Long> begunIn(long window) {
         java.util.Map<TeamId, Long> all = new java.util.TreeMap<>();
         own.begun().get(window).forEach(m -> m.forEach((t, n) -> all.merge(t, n, Long::sum)));
+        if (past.precedes(firstMs())) {
+            past.begun(window).forEach((t, n) -> all.merge(t, n, Long::sum));
+        }
         for (Heard other : heard.values()) {
             other.report()
                     .begun()
@@ -176,17 +191,66 @@
         return all;
     }
 
+    /**
+     * Returns what is to be written down, so that it outlasts this run.
+     *
+     * @param nowMs the time, in milliseconds
+     * @return the use of all nodes; empty while part of it is not known
+     */
+    public Optional<UseRecord> record(long nowMs) {
+        boolean whole = past.precedes(firstMs()) || firstMs() <= nowMs - rules.quotaWindowMs();
+        if (!whole || !hearsAll(nowMs)) {
+            return Optional.empty();
+        }
+        Set<TeamId> teams = new TreeSet<>(own.spent().keySet().toJavaSet());
+        Set<Long> windows = new TreeSet<>(own.begun().keySet().toJavaSet());
+        heard.values().forEach(h -> {
+            teams.addAll(h.report().spent().keySet());
+            windows.addAll(h.report().begun().keySet());
+        });
+        past.record().ifPresent(r -> {
+            teams.addAll(r.spent().keySet());
+            windows.addAll(r.begun().keySet());
+        });
+        java.util.Map<TeamId, Long> spent = new java.util.TreeMap<>();
+        teams.forEach(t -> spent.put(t, Math.round(counted(nowMs, t) + before(nowMs, t, 0))));
+        java.util.Map<Long, java.util.Map<TeamId, Long>> begun = new java.util.TreeMap<>();
+        long oldest = Math.floorDiv(trueWallMs(nowMs), rules.usageWindowMs()) - KEPT_WINDOWS;
+        windows.stream().filter(w -> w >= oldest).forEach(w -> begun.put(w, begunIn(w)));
+        return Optional.of(new UseRecord(trueWallMs(nowMs), spent, begun));
+    }
+
+    /** What the node can see to of a team's use: all that is counted, and its part of what came before. */
     private double used(long nowMs, TeamId team, Quota quota) {
+        long from = nowMs - rules.quotaWindowMs();
+        long knownTo = past.precedes(firstMs()) ? Math.max(from, past.atMs()) : from;
+        double unknown = quota.ratePerSecond() * Math.max(0, firstMs() - knownTo) / 1_000;
+        double unseen = Math.max(0, unknown - UNKNOWN_SPARE * spare(quota));
+        return counted(nowMs, team) + (before(nowMs, team, quota.burst()) + unseen) * part(nowMs);
+    }
+
+    /** Units of a team that the runs that are heard have counted in the window. */
+    private double counted(long nowMs, TeamId team) {
         long window = rules.quotaWindowMs();
-        double used = own.spent(team, nowMs - window).total();
-        long oldest = nowMs - own.startedMs();
+        double counted = own.spent(team, nowMs - window).total();
         for (Heard other : heard.values()) {
-            used += other.report().spent().getOrDefault(team, 0L) * left(nowMs, other, window);
-            oldest = Math.max(oldest, other.report().ageMs() + nowMs - other.atMs());
+            counted += other.report().spent().getOrDefault(team, 0L) * left(nowMs, other, window);
         }
-        double unknownMs = Math.max(0, window - oldest);
-        double unknown = quota.ratePerSecond() * unknownMs / 1_000;
-        return used + Math.max(0, unknown - UNKNOWN_SPARE * spare(quota));
+        return counted;
+    }
+
+    /** Units of a team that were spent before any of these runs, as far as they are written down. */
+    private double before(long nowMs, TeamId team, double burst) {
+        return past.precedes(firstMs()) ? past.spent(nowMs, team, rules.quotaWindowMs(), burst) : 0;
+    }
+
+    /** When the oldest run began of which something was heard, in milliseconds. */
+    private long firstMs() {
+        long first = own.startedMs();
+        for (Heard other : heard.values()) {
+            first = Math.min(first, other.atMs() - other.report().ageMs());
+        }
+        return first;
     }
 
     /** By how much a quota may be exceeded in a window. */
@@ -223,22 +287,26 @@
     }
 
     ShareState with(ShareRules next) {
-        return new ShareState(next, own, heard, nodes, offsetMs);
+        return new ShareState(next, own, heard, nodes, offsetMs, past);
     }
 
     ShareState with(OwnUse next) {
-        return new ShareState(rules, next, heard, nodes, offsetMs);
+        return new ShareState(rules, next, heard, nodes, offsetMs, past);
     }
 
     ShareState with(Map<Run, Heard> next) {
-        return new ShareState(rules, own, next, nodes, offsetMs);
+        return new ShareState(rules, own, next, nodes, offsetMs, past);
     }
 
     ShareState withNodes(int next) {
-        return new ShareState(rules, own, heard, next, offsetMs);
+        return new ShareState(rules, own, heard, next, offsetMs, past);
     }
 
     ShareState withOffset(long next) {
-        return new ShareState(rules, own, heard, nodes, next);
+        return new ShareState(rules, own, heard, nodes, next, past);
+    }
+
+    ShareState with(Past next) {
+        return new ShareState(rules, own, heard, nodes, offsetMs, next);
     }
 }
--- a/core/src/test/java/org/fuchsiadeck/core/share/ShareStateTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/share/ShareStateTest.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 
 import org.fuchsiadeck.core.Effect;
@@ -20,6 +21,7 @@
 import org.fuchsiadeck.core.model.TeamId;
 import org.fuchsiadeck.core.model.VersionShares;
 import org.fuchsiadeck.core.model.Zone;
+import org.fuchsiadeck.core.platform.PlatformEffect;
 import org.fuchsiadeck.core.platform.PlatformEvent;
 import org.junit.jupiter.api.Test;
 
@@ -80,12 +82,40 @@
             }
         }
 
+        /** All processes end at once and start again, with what the platform's service holds. */
+        void restartAll(long downMs, Optional<UseRecord> record) {
+            now += downMs;
+            for (NodeId node : List.copyOf(states.keySet())) {
+                states.put(node, ShareState.initial(RULES));
+                deliver(node, new PlatformEvent.Listed(List.of(), peers()));
+                for (Effect effect : deliver(node, new Lifecycle.Started())) {
+                    if (effect instanceof PlatformEffect.Get get) {
+                        Optional<PlatformEvent.Entry> entry =
+                                record.map(r -> new PlatformEvent.Entry(get.key(), Optional.of(r.write()), 7));
+                        deliver(node, new PlatformEvent.Found(get.tag(), entry, 9));
+                    }
+                }
+            }
+        }
+
+        /** Asks for units at each node four times a second, and returns what was taken by the time of asking. */
+        TreeMap<Long, Long> ask(long ms, long units) {
+            TreeMap<Long, Long> taken = new TreeMap<>();
+            for (long until = now + ms; now < until; ) {
+                tick();
+                for (int node = 0; node < states.size(); node++) {
+                    taken.merge(now, spend(node, units) ? units : 0L, Long::sum);
+                }
+            }
+            return taken;
+        }
+
         ShareState at(int node) {
             return states.get(new NodeId("n" + node));
         }
 
         boolean spend(int node, long units) {
-            boolean allowed = at(node).allows(now, TEAM, QUOTA, units);
+            boolean allowed = at(node).room(now, TEAM, QUOTA).over(units) <= 0;
             if (allowed) {
                 deliver(new NodeId("n" + node), new ShareEvent.Spent(TEAM, units));
             }
@@ -142,7 +172,7 @@
             cluster.tick();
         }
         assertThat(cluster.spend(2, 900)).isTrue();
-        assertThat(cluster.at(2).waitMs(cluster.now, TEAM, QUOTA, 200)).isBetween(900L, 1_100L);
+        assertThat(cluster.at(2).room(cluster.now, TEAM, QUOTA).over(200)).isBetween(90.0, 110.0);
     }
 
     @Test
@@ -193,4 +223,98 @@
         long window = (WALL + cluster.now) / 5_000;
         assertThat(cluster.at(0).begunIn(window)).containsEntry(TEAM, 2L);
     }
+
+    /** A power cut in the middle of the rush: callers repeat what was lost before the nodes hear each other again. */
+    @Test
+    void aTeamWithinItsQuotaIsServedAfterAllNodesWereLost() {
+        Cluster cluster = new Cluster(3);
+        cluster.ask(12_000, 5);
+        Optional<UseRecord> record = cluster.at(1).record(cluster.now);
+        cluster.tick();
+        cluster.tick();
+        cluster.restartAll(1_000, record);
+        for (int again = 0; again < 6; again++) {
+            for (int node = 0; node < 3; node++) {
+                assertThat(cluster.spend(node, 8)).isTrue();
+            }
+        }
+        TreeMap<Long, Long> after = cluster.ask(8_000, 5);
+        assertThat(sum(after)).isEqualTo(after.size() * 3 * 5L);
+    }
+
+    @Test
+    void withoutARecordThePastCountsAtTheFullRate() {
+        Cluster cluster = new Cluster(3);
+        cluster.ask(12_000, 6);
+        cluster.restartAll(1_000, Optional.empty());
+        assertThat(sum(cluster.ask(4_000, 9))).isLessThanOrEqualTo(700);
+    }
+
+    /** A loud team asks for three times its quota, and all nodes are lost over and over. */
+    @Test
+    void quotasHoldThroughLossesOfAllNodes() {
+        Cluster cluster = new Cluster(3);
+        TreeMap<Long, Long> taken = new TreeMap<>(cluster.ask(9_000, 25));
+        for (long upMs = 500; upMs < 12_000; upMs += 1_250) {
+            Optional<UseRecord> record = cluster.at(0).record(cluster.now);
+            taken.putAll(cluster.ask(750, 25));
+            cluster.restartAll(600, record);
+            taken.putAll(cluster.ask(upMs, 25));
+        }
+        long limit = 100 * 8 + 200;
+        for (long from : taken.keySet()) {
+            assertThat(sum(taken.subMap(from, from + 8_000))).isLessThanOrEqualTo(limit + limit / 10);
+        }
+    }
+
+    @Test
+    void aSurvivorsCountsGoBeforeTheRecord() {
+        Cluster cluster = new Cluster(2);
+        cluster.ask(12_000, 10);
+        Optional<UseRecord> record = cluster.at(1).record(cluster.now);
+        NodeId again = new NodeId("n1");
+        cluster.states.put(again, ShareState.initial(RULES));
+        cluster.deliver(again, new PlatformEvent.Listed(List.of(), cluster.peers()));
+        for (Effect effect : cluster.deliver(again, new Lifecycle.Started())) {
+            if (effect instanceof PlatformEffect.Get get) {
+                PlatformEvent.Entry entry = new PlatformEvent.Entry(
+                        get.key(), Optional.of(record.orElseThrow().write()), 7);
+                cluster.deliver(again, new PlatformEvent.Found(get.tag(), Optional.of(entry), 9));
+            }
+        }
+        cluster.tick();
+        long window = (WALL + cluster.now) / 5_000;
+        assertThat(cluster.at(1).begunIn(window)).isEqualTo(cluster.at(0).begunIn(window));
+        assertThat(cluster.spend(1, 500)).isTrue();
+    }
+
+    @Test
+    void windowsOutlastAllNodes() {
+        Cluster cluster = new Cluster(2);
+        for (int i = 0; i < 40; i++) {
+            cluster.tick();
+            cluster.deliver(new NodeId("n0"), new ShareEvent.Begun(TEAM, cluster.now));
+        }
+        cluster.tick();
+        long window = (WALL + cluster.now) / 5_000 - 1;
+        java.util.Map<TeamId, Long> before = cluster.at(1).begunIn(window);
+        Optional<UseRecord> record = cluster.at(1).record(cluster.now);
+        cluster.restartAll(1_000, record);
+        cluster.tick();
+        assertThat(before.get(TEAM)).isPositive();
+        assertThat(cluster.at(0).begunIn(window)).isEqualTo(before);
+    }
+
+    @Test
+    void aRecordReadsAsItWasWritten() {
+        UseRecord record = new UseRecord(WALL, Map.of(TEAM, 12L), Map.of(3L, Map.of(TEAM, 4L)));
+        assertThat(UseRecord.read(record.write())).contains(record);
+        assertThat(UseRecord.read("")).isEmpty();
+        assertThat(UseRecord.read("time\t")).isEmpty();
+        assertThat(UseRecord.read("time\t12\nspent\ta\tb")).isEmpty();
+    }
+
+    private static long sum(Map<Long, Long> taken) {
+        return taken.values().stream().mapToLong(v -> v).sum();
+    }
 }
