Order other servers for the loss of one more zone, by the usual load

Orders moved between zones while servers were starting. Change: after a reclaim the plan fills up to what is needed after one more zone's loss, by the median load; attempts count up to twice what a server carries; orders under way count as standing; an order that came to nothing is made again; new servers go where the service has fewest. The line ORDER_DECIDED gives the inputs.

--- a/core/src/main/java/org/fuchsiadeck/core/EventCode.java
+++ b/core/src/main/java/org/fuchsiadeck/core/EventCode.java
@@ -47,6 +47,7 @@
     USAGE_REPORTED(4204, Level.INFO, "The use in a window was reported."),
     SERVERS_ORDERED(4205, Level.INFO, "Backend servers were ordered or given up."),
     USE_READ(4206, Level.INFO, "What all nodes had spent before this one started was read."),
+    ORDER_DECIDED(4207, Level.INFO, "Other numbers of backend servers are needed than there are."),
     ROLLOUT_MOVED(5001, Level.INFO, "A rollout's share changed."),
     VERSION_CONDEMNED(5002, Level.WARN, "A version is condemned and gets no new work."),
     ROLLOUT_ENDED(5003, Level.INFO, "A rollout is done or taken back."),
--- a/core/src/main/java/org/fuchsiadeck/core/duty/FleetPlan.java
+++ b/core/src/main/java/org/fuchsiadeck/core/duty/FleetPlan.java
@@ -17,24 +17,23 @@
  * Decides how many servers of a service there are to be, of which kind and where.
  *
  * <p>Answers traffic that rises and falls within seconds while whole zones of reclaimable servers are taken away at two
- * seconds' notice: the fleet is made of reclaimable servers, spread so that what is left after the loss of any one zone
- * still carries the load, and other servers are kept only until these have come up.
+ * seconds' notice, often one after the other: the fleet is made of reclaimable servers, spread so that what is left after
+ * the loss of any one zone still carries the load. Once a zone is taken away, other servers are ordered for the loss of
+ * one more, since they start later than the notice ends; they are kept until reclaimable ones have come up again.
  *
  * @param scaling what may be ordered
- * @param busy the most attempts that were in progress at once lately
- * @param present servers that stay, by kind and zone
+ * @param load attempts in progress lately
+ * @param standing servers that stay, and those that are ordered and starting, by kind and zone
+ * @param reclaiming whether servers were reclaimed a short time ago
  * @param withheld zones in which no reclaimable servers are to be had for now
  */
-record FleetPlan(Scaling scaling, int busy, Map<Place, Integer> present, Set<Zone> withheld) {
+record FleetPlan(Scaling scaling, Load load, Standing standing, boolean reclaiming, Set<Zone> withheld) {
     /**
      * Attempts that a server carries at once within the callers' expectation: beyond it, prompts that are read in chunks
      * delay the first token of the others.
      */
     static final int BUSY_PER_SERVER = 4;
 
-    /** Attempts that make it worth the several times higher price of another server. */
-    static final int BUSY_PER_OTHER_SERVER = 8;
-
     /** Fewer servers leave no room for a prompt that takes one of them for a second. */
     static final int LEAST_SERVERS = 3;
 
@@ -43,7 +42,8 @@
 
     FleetPlan {
         requireNonNull(scaling, "scaling");
-        present = Map.copyOf(present);
+        requireNonNull(load, "load");
+        requireNonNull(standing, "standing");
         withheld = Set.copyOf(withheld);
     }
 
@@ -59,6 +59,36 @@
         }
     }
 
+    /**
+     * Attempts in progress over the last seconds. Reclaimable servers are cheap enough to be ordered for the most of them,
+     * others for the usual number.
+     *
+     * @param usual the number that was exceeded half of the time
+     * @param most the highest number
+     */
+    record Load(int usual, int most) {}
+
+    /**
+     * The servers of a service that are not leaving.
+     *
+     * @param up servers that are registered
+     * @param ordered the same, but where an order is being carried out what it asks for
+     */
+    record Standing(Map<Place, Integer> up, Map<Place, Integer> ordered) {
+        Standing {
+            up = Map.copyOf(up);
+            ordered = Map.copyOf(ordered);
+        }
+
+        int up(Zone zone) {
+            return up.getOrDefault(new Place(zone, true), 0);
+        }
+
+        int ordered(Zone zone, boolean reclaimable) {
+            return ordered.getOrDefault(new Place(zone, reclaimable), 0);
+        }
+    }
+
     /**
      * Returns the numbers of servers that there are to be. What was ordered in a zone without reclaimable servers to be had
      * is left as it is.
@@ -67,18 +97,12 @@
         List<Zone> zones = new ArrayList<>(scaling.zonePrices().keySet());
         zones.sort(Comparator.comparingDouble((Zone z) -> scaling.zonePrices().get(z))
                 .thenComparing(Comparator.naturalOrder()));
-        int needed = Math.max(LEAST_SERVERS, ceilDiv(busy, BUSY_PER_SERVER));
         List<Zone> open = zones.stream()
                 .filter(z -> scaling.reclaimables() && !withheld.contains(z))
                 .toList();
-        int cheapNeeded = Math.max(LEAST_RECLAIMABLE, needed);
+        int cheapNeeded = Math.max(LEAST_RECLAIMABLE, ceilDiv(load.most(), BUSY_PER_SERVER));
         Map<Zone, Integer> cheap = spread(open, open.isEmpty() ? 0 : withSpare(cheapNeeded, open.size()));
-        int up = 0;
-        for (Zone zone : zones) {
-            up += Math.min(cheap.getOrDefault(zone, Integer.MAX_VALUE), at(zone, true));
-        }
-        int least = Math.max(LEAST_SERVERS, ceilDiv(busy, BUSY_PER_OTHER_SERVER));
-        Map<Zone, Integer> dear = dear(zones, Math.max(0, least - up));
+        Map<Zone, Integer> dear = dear(zones, gap(zones, cheap));
         Map<Place, Integer> all = new HashMap<>();
         for (Zone zone : zones) {
             if (cheap.containsKey(zone)) {
@@ -89,29 +113,49 @@
         return all;
     }
 
-    /** Other servers fill the gap until enough reclaimable ones are up: first those that are there, then new ones. */
+    /** Servers that reclaimable ones do not make up for, now or after the loss that is to be expected. */
+    private int gap(List<Zone> zones, Map<Zone, Integer> cheap) {
+        int up = 0;
+        int most = 0;
+        for (Zone zone : zones) {
+            int here = Math.min(cheap.getOrDefault(zone, Integer.MAX_VALUE), standing.up(zone));
+            up += here;
+            most = Math.max(most, here);
+        }
+        int least = Math.max(LEAST_SERVERS, ceilDiv(load.usual(), BUSY_PER_SERVER));
+        return Math.max(0, least - (reclaiming ? up - most : up));
+    }
+
+    /** Other servers fill the gap until enough reclaimable ones are up: first those that are there, then new ones where the service has
+     * fewest, which are near to callers that have lost theirs. */
     private Map<Zone, Integer> dear(List<Zone> zones, int gap) {
         Map<Zone, Integer> kept = new TreeMap<>();
         int left = gap;
         for (Zone zone : zones) {
-            int here = Math.min(left, at(zone, false));
+            int here = Math.min(left, standing.ordered(zone, false));
             kept.put(zone, here);
             left -= here;
         }
-        boolean none = !scaling.reclaimables() || withheld.containsAll(zones);
-        for (int next = 0; none && left > 0 && next < zones.size() * scaling.max(); next++) {
-            Zone zone = zones.get(next % zones.size());
-            boolean room = kept.get(zone) + at(zone, true) < scaling.max();
-            kept.merge(zone, room ? 1 : 0, Integer::sum);
-            left -= room ? 1 : 0;
+        boolean more = reclaiming || !scaling.reclaimables() || withheld.containsAll(zones);
+        while (more && left > 0) {
+            Zone least = null;
+            int fewest = scaling.max();
+            for (Zone zone : zones) {
+                int here = kept.get(zone) + standing.ordered(zone, true);
+                if (here < fewest) {
+                    least = zone;
+                    fewest = here;
+                }
+            }
+            if (least == null) {
+                return kept;
+            }
+            kept.merge(least, 1, Integer::sum);
+            left--;
         }
         return kept;
     }
 
-    private int at(Zone zone, boolean reclaimable) {
-        return present.getOrDefault(new Place(zone, reclaimable), 0);
-    }
-
     /** The least number of servers that, spread evenly, leaves enough after the loss of one zone. */
     private static int withSpare(int needed, int zones) {
         int count = needed;
--- a/core/src/main/java/org/fuchsiadeck/core/duty/OrderDuty.java
+++ b/core/src/main/java/org/fuchsiadeck/core/duty/OrderDuty.java
@@ -2,8 +2,10 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -20,24 +22,23 @@
 import static java.util.Objects.requireNonNull;
 
 /**
- * Orders backend servers, one call at a time, whenever what is wanted differs from what was ordered last.
+ * Orders backend servers, one call at a time, whenever what is wanted differs from what was ordered last, or from what
+ * there is once an order has had its time.
  *
  * @param servers the servers that are registered
  * @param samples attempts in progress at services, over the last seconds
- * @param ordered what was ordered, where the platform took it
- * @param withheld until when no servers are to be had at a place, in milliseconds
- * @param asked what the order in progress is about; null if there was none
- * @param askedCount the number it asks for
+ * @param ordered the last orders that the platform took
+ * @param withheld where no servers are to be had
+ * @param asked the order in progress; empty if there was none
  * @param call the call in progress
  * @param sequence calls made so far
  */
 record OrderDuty(
         List<Backend> servers,
         Queue<Sample> samples,
-        io.vavr.collection.Map<Subject, Integer> ordered,
-        io.vavr.collection.Map<Subject, Long> withheld,
-        Subject asked,
-        int askedCount,
+        io.vavr.collection.Map<Subject, Order> ordered,
+        io.vavr.collection.Map<Subject, Withheld> withheld,
+        Optional<Order> asked,
         PendingCall call,
         long sequence) {
     static final OrderDuty NONE = new OrderDuty(
@@ -45,8 +46,7 @@
             Queue.empty(),
             io.vavr.collection.HashMap.empty(),
             io.vavr.collection.HashMap.empty(),
-            null,
-            0,
+            Optional.empty(),
             PendingCall.NONE,
             0);
 
@@ -55,17 +55,27 @@
     /** Load is remembered for a few start-up times, so that servers are not given up between two peaks. */
     private static final long REMEMBER_MS = 20_000;
 
-    /** A zone whose reclaimable servers were taken away has none for a while. */
+    /** A zone whose reclaimable servers were taken away has none for a while, and others may be next. */
     private static final long RECLAIMED_MS = 14_000;
 
+    /**
+     * Attempts that a server has in progress before further ones only wait: twice what it carries within the callers'
+     * expectation. What is beyond that came of missing servers, not of load.
+     */
+    private static final int SATURATED = 2 * FleetPlan.BUSY_PER_SERVER;
+
     private static final long NONE_TO_BE_HAD_MS = 4_000;
     private static final long RETRY_MS = 1_000;
 
+    /** A new server registers, and one that is given up deregisters, within this time beyond the start-up time. */
+    private static final long REGISTER_MS = 3_000;
+
     OrderDuty {
         servers = List.copyOf(servers);
         requireNonNull(samples, "samples");
         requireNonNull(ordered, "ordered");
         requireNonNull(withheld, "withheld");
+        requireNonNull(asked, "asked");
         requireNonNull(call, "call");
     }
 
@@ -75,7 +85,36 @@
      * @param service the service
      * @param place the zone and the kind of server
      */
-    record Subject(String service, FleetPlan.Place place) {}
+    record Subject(String service, FleetPlan.Place place) {
+        Map<String, Object> fields() {
+            Map<String, Object> fields = new LinkedHashMap<>();
+            fields.put("service", service);
+            fields.put("zone", place.zone());
+            fields.put("reclaimable", place.reclaimable());
+            return fields;
+        }
+    }
+
+    /**
+     * An order of servers.
+     *
+     * @param subject what it is about
+     * @param count how many there are to be
+     * @param atMs when it was made, in milliseconds
+     */
+    record Order(Subject subject, int count, long atMs) {
+        Order {
+            requireNonNull(subject, "subject");
+        }
+    }
+
+    /**
+     * That no servers are to be had at a place.
+     *
+     * @param untilMs for how long, in milliseconds
+     * @param reclaimed whether servers were taken away there, rather than an order refused
+     */
+    record Withheld(long untilMs, boolean reclaimed) {}
 
     /**
      * The load at a time.
@@ -94,14 +133,14 @@
     record Update(OrderDuty duty, List<Effect> effects) {}
 
     OrderDuty listed(long nowMs, List<Backend> backends) {
-        io.vavr.collection.Map<Subject, Long> taken = withheld;
+        io.vavr.collection.Map<Subject, Withheld> taken = withheld;
         for (Backend backend : backends) {
             if (backend.reclaimable() && backend.leaving() && stayed(backend.id())) {
                 Subject subject = new Subject(backend.service(), new FleetPlan.Place(backend.zone(), true));
-                taken = taken.put(subject, nowMs + RECLAIMED_MS);
+                taken = taken.put(subject, new Withheld(nowMs + RECLAIMED_MS, true));
             }
         }
-        return new OrderDuty(backends, samples, ordered, taken, asked, askedCount, call, sequence);
+        return new OrderDuty(backends, samples, ordered, taken, asked, call, sequence);
     }
 
     private boolean stayed(BackendId id) {
@@ -118,14 +157,13 @@
             if (!next.settled(scaling.service())) {
                 continue;
             }
-            Map<FleetPlan.Place, Integer> wanted =
-                    next.plan(view.nowMs(), scaling).wanted();
+            FleetPlan plan = next.plan(view.nowMs(), scaling);
+            Map<FleetPlan.Place, Integer> wanted = plan.wanted();
             for (FleetPlan.Place place : ordered(wanted)) {
-                Subject subject = new Subject(scaling.service(), place);
                 int count = wanted.get(place);
-                int last = next.ordered.getOrElse(subject, next.present(scaling.service(), place));
-                if (last != count) {
-                    return next.order(view.nowMs(), fence, subject, count);
+                if (plan.standing().ordered(place.zone(), place.reclaimable()) != count) {
+                    Subject subject = new Subject(scaling.service(), place);
+                    return next.order(fence, new Order(subject, count, view.nowMs()), plan);
                 }
             }
         }
@@ -144,32 +182,58 @@
         if (!call.awaits(event.tag())) {
             return new Update(this, List.of());
         }
+        Order order = asked.orElseThrow();
+        Subject subject = order.subject();
         boolean done = event.result() == DutyEvent.Result.DONE;
         boolean none = event.result() == DutyEvent.Result.NONE_TO_BE_HAD;
-        io.vavr.collection.Map<Subject, Integer> taken = done ? ordered.put(asked, askedCount) : ordered;
-        io.vavr.collection.Map<Subject, Long> kept = none ? withheld.put(asked, nowMs + NONE_TO_BE_HAD_MS) : withheld;
+        boolean reclaimed = withheld.get(subject).exists(w -> w.reclaimed() && nowMs < w.untilMs());
+        Withheld refused = new Withheld(nowMs + NONE_TO_BE_HAD_MS, false);
         PendingCall next = done || none ? PendingCall.NONE : PendingCall.pause(nowMs, RETRY_MS);
-        Effect log = new Effect.Log(
-                done ? EventCode.SERVERS_ORDERED : EventCode.DUTY_CALL_FAILED,
-                asked.service() + " in " + asked.place().zone()
-                        + (asked.place().reclaimable() ? " reclaimable " : " other ") + askedCount + ": "
-                        + event.detail());
-        return new Update(
-                new OrderDuty(servers, samples, taken, kept, asked, askedCount, next, sequence), List.of(log));
+        Map<String, Object> fields = new LinkedHashMap<>(subject.fields());
+        fields.put("count", order.count());
+        fields.put("outcome", event.result());
+        Effect log =
+                new Effect.Log(done ? EventCode.SERVERS_ORDERED : EventCode.DUTY_CALL_FAILED, event.detail(), fields);
+        OrderDuty after = new OrderDuty(
+                servers,
+                samples,
+                done ? ordered.put(subject, order) : ordered,
+                none && !reclaimed ? withheld.put(subject, refused) : withheld,
+                asked,
+                next,
+                sequence);
+        return new Update(after, List.of(log));
     }
 
-    private Update order(long nowMs, long fence, Subject subject, int count) {
+    private Update order(long fence, Order order, FleetPlan plan) {
         String tag = "orders/" + sequence;
+        Subject subject = order.subject();
         Effect effect = new DutyEffect.OrderServers(
                 tag,
                 fence,
                 subject.service(),
                 subject.place().zone(),
                 subject.place().reclaimable(),
-                count);
+                order.count());
+        Map<String, Object> fields = new LinkedHashMap<>(subject.fields());
+        fields.put("count", order.count());
+        fields.put(
+                "standing",
+                plan.standing().ordered(subject.place().zone(), subject.place().reclaimable()));
+        fields.put("usual_load", plan.load().usual());
+        fields.put("most_load", plan.load().most());
+        fields.put("reclaiming", plan.reclaiming());
+        fields.put("withheld", plan.withheld());
+        Effect log = new Effect.Log(EventCode.ORDER_DECIDED, "", fields);
         OrderDuty next = new OrderDuty(
-                servers, samples, ordered, withheld, subject, count, PendingCall.call(tag, nowMs), sequence + 1);
-        return new Update(next, List.of(effect));
+                servers,
+                samples,
+                ordered,
+                withheld,
+                Optional.of(order),
+                PendingCall.call(tag, order.atMs()),
+                sequence + 1);
+        return new Update(next, List.of(log, effect));
     }
 
     private OrderDuty sampled(View view) {
@@ -179,35 +243,56 @@
         }
         Map<BackendId, Integer> own = view.work().inFlight();
         Map<String, Integer> busy = new HashMap<>();
+        Map<String, Integer> most = new HashMap<>();
         for (Backend server : servers) {
             int count = own.getOrDefault(server.id(), 0) + view.use().inFlightElsewhere(now, server.id());
             busy.merge(server.service(), count, Integer::sum);
+            most.merge(server.service(), SATURATED, Integer::sum);
         }
+        busy.replaceAll((service, count) -> Math.min(count, most.get(service)));
         Queue<Sample> kept =
                 samples.dropWhile(s -> s.atMs() + REMEMBER_MS < now).enqueue(new Sample(now, busy));
-        return new OrderDuty(servers, kept, ordered, withheld, asked, askedCount, call, sequence);
+        return new OrderDuty(servers, kept, ordered, withheld, asked, call, sequence);
     }
 
     private FleetPlan plan(long nowMs, Scaling scaling) {
-        int busy = samples.map(s -> s.busy().getOrDefault(scaling.service(), 0))
-                .max()
-                .getOrElse(0);
-        Map<FleetPlan.Place, Integer> present = new HashMap<>();
+        String service = scaling.service();
+        Map<FleetPlan.Place, Integer> up = new HashMap<>();
         for (Backend server : servers) {
-            if (server.service().equals(scaling.service()) && !server.leaving()) {
-                present.merge(new FleetPlan.Place(server.zone(), server.reclaimable()), 1, Integer::sum);
+            if (server.service().equals(service) && !server.leaving()) {
+                up.merge(new FleetPlan.Place(server.zone(), server.reclaimable()), 1, Integer::sum);
             }
         }
+        Map<FleetPlan.Place, Integer> standing = new HashMap<>(up);
+        ordered.forEach((subject, order) -> {
+            boolean underWay = nowMs < order.atMs() + scaling.startupMs() + REGISTER_MS;
+            boolean taken = withheld.get(subject).exists(w -> w.reclaimed() && nowMs < w.untilMs());
+            if (subject.service().equals(service) && underWay && !taken) {
+                standing.put(subject.place(), order.count());
+            }
+        });
         Set<Zone> none = new HashSet<>();
-        withheld.forEach((subject, until) -> {
-            boolean now = subject.service().equals(scaling.service())
+        boolean reclaiming = false;
+        for (Map.Entry<Subject, Withheld> entry : withheld.toJavaMap().entrySet()) {
+            Subject subject = entry.getKey();
+            if (subject.service().equals(service)
                     && subject.place().reclaimable()
-                    && nowMs < until;
-            if (now) {
+                    && nowMs < entry.getValue().untilMs()) {
                 none.add(subject.place().zone());
+                reclaiming |= entry.getValue().reclaimed();
             }
-        });
-        return new FleetPlan(scaling, busy, present, none);
+        }
+        return new FleetPlan(scaling, load(service), new FleetPlan.Standing(up, standing), reclaiming, none);
+    }
+
+    private FleetPlan.Load load(String service) {
+        int[] busy = samples.toJavaStream()
+                .mapToInt(s -> s.busy().getOrDefault(service, 0))
+                .sorted()
+                .toArray();
+        return busy.length == 0
+                ? new FleetPlan.Load(0, 0)
+                : new FleetPlan.Load(busy[busy.length / 2], busy[busy.length - 1]);
     }
 
     /** While two versions of a service run side by side, its number of servers is left alone. */
@@ -220,13 +305,4 @@
         }
         return versions.size() <= 1;
     }
-
-    private int present(String service, FleetPlan.Place place) {
-        return (int) servers.stream()
-                .filter(b -> b.service().equals(service)
-                        && b.zone().equals(place.zone())
-                        && b.reclaimable() == place.reclaimable()
-                        && !b.leaving())
-                .count();
-    }
 }
--- a/core/src/test/java/org/fuchsiadeck/core/duty/FleetPlanTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/duty/FleetPlanTest.java
@@ -4,7 +4,9 @@
 import java.util.Set;
 
 import org.fuchsiadeck.core.config.Scaling;
+import org.fuchsiadeck.core.duty.FleetPlan.Load;
 import org.fuchsiadeck.core.duty.FleetPlan.Place;
+import org.fuchsiadeck.core.duty.FleetPlan.Standing;
 import org.fuchsiadeck.core.model.Zone;
 import org.junit.jupiter.api.Test;
 
@@ -18,6 +20,14 @@
     private static final Scaling CHEAP = new Scaling("s", 1, 4, 4_000, 0.15, PRICES);
     private static final Scaling DEAR = new Scaling("s", 1, 4, 4_000, 1, PRICES);
 
+    private static FleetPlan plan(Scaling scaling, int busy, Map<Place, Integer> up, Set<Zone> withheld) {
+        return new FleetPlan(scaling, new Load(busy, busy), new Standing(up, up), false, withheld);
+    }
+
+    private static FleetPlan reclaiming(int usual, Map<Place, Integer> up, Map<Place, Integer> ordered, Zone... from) {
+        return new FleetPlan(CHEAP, new Load(usual, usual), new Standing(up, ordered), true, Set.of(from));
+    }
+
     private static int sum(Map<Place, Integer> wanted, boolean reclaimable) {
         return wanted.entrySet().stream()
                 .filter(e -> e.getKey().reclaimable() == reclaimable)
@@ -28,7 +38,7 @@
     @Test
     void leavesEnoughAfterTheLossOfAnyZone() {
         for (int busy = 0; busy < 70; busy++) {
-            Map<Place, Integer> wanted = new FleetPlan(CHEAP, busy, Map.of(), Set.of()).wanted();
+            Map<Place, Integer> wanted = plan(CHEAP, busy, Map.of(), Set.of()).wanted();
             int needed = Math.max(
                     FleetPlan.LEAST_SERVERS, (busy + FleetPlan.BUSY_PER_SERVER - 1) / FleetPlan.BUSY_PER_SERVER);
             int most = PRICES.keySet().stream()
@@ -44,17 +54,16 @@
     @Test
     void keepsOtherServersUntilReclaimableOnesAreUp() {
         Map<Place, Integer> present = Map.of(new Place(A, false), 2, new Place(B, false), 2);
-        assertThat(sum(new FleetPlan(CHEAP, 0, present, Set.of()).wanted(), false))
-                .isEqualTo(3);
+        assertThat(sum(plan(CHEAP, 0, present, Set.of()).wanted(), false)).isEqualTo(3);
         Map<Place, Integer> up =
                 Map.of(new Place(A, false), 2, new Place(A, true), 2, new Place(B, true), 2, new Place(C, true), 1);
-        assertThat(sum(new FleetPlan(CHEAP, 0, up, Set.of()).wanted(), false)).isZero();
+        assertThat(sum(plan(CHEAP, 0, up, Set.of()).wanted(), false)).isZero();
     }
 
     @Test
     void leavesTheOrdersOfAZoneThatHasNoMoreToGive() {
         Map<Place, Integer> present = Map.of(new Place(A, true), 2, new Place(B, true), 2, new Place(C, true), 2);
-        Map<Place, Integer> wanted = new FleetPlan(CHEAP, 40, present, Set.of(A, C)).wanted();
+        Map<Place, Integer> wanted = plan(CHEAP, 40, present, Set.of(A, C)).wanted();
         assertThat(wanted).doesNotContainKeys(new Place(A, true), new Place(C, true));
         assertThat(wanted).containsKey(new Place(B, true));
     }
@@ -62,17 +71,40 @@
     @Test
     void ordersOtherServersWhereNoReclaimableOnesAreToBeHad() {
         int needed = 5;
-        int busy = needed * FleetPlan.BUSY_PER_OTHER_SERVER;
+        int busy = needed * FleetPlan.BUSY_PER_SERVER;
         Map<Place, Integer> present = Map.of(new Place(A, true), 1);
-        Map<Place, Integer> wanted = new FleetPlan(CHEAP, busy, present, Set.of(A, B, C)).wanted();
+        Map<Place, Integer> wanted = plan(CHEAP, busy, present, Set.of(A, B, C)).wanted();
         assertThat(sum(wanted, false)).isEqualTo(needed - 1);
-        assertThat(sum(new FleetPlan(DEAR, busy, Map.of(), Set.of()).wanted(), false))
-                .isEqualTo(needed);
+        assertThat(sum(plan(DEAR, busy, Map.of(), Set.of()).wanted(), false)).isEqualTo(needed);
     }
 
     @Test
     void staysWithinWhatAZoneMayHave() {
-        Map<Place, Integer> wanted = new FleetPlan(CHEAP, 1_000, Map.of(), Set.of()).wanted();
+        Map<Place, Integer> wanted = plan(CHEAP, 1_000, Map.of(), Set.of()).wanted();
         assertThat(wanted.values()).allMatch(n -> n <= CHEAP.max());
     }
+
+    /** One zone after the other is taken away, each some seconds after the one before, and none are to be had. */
+    @Test
+    void othersAreOrderedForTheLossOfOneMoreZone() {
+        Map<Place, Integer> up = Map.of(new Place(B, true), 2, new Place(C, true), 2);
+        Map<Place, Integer> wanted = reclaiming(8, up, up, A).wanted();
+        assertThat(sum(wanted, false)).isEqualTo(FleetPlan.LEAST_SERVERS - 2);
+    }
+
+    @Test
+    void othersThatAreStartingAreNotOrderedElsewhere() {
+        Map<Place, Integer> ordered = Map.of(new Place(C, false), 2, new Place(A, false), 1);
+        Map<Place, Integer> wanted = reclaiming(8, Map.of(), ordered, A, B, C).wanted();
+        assertThat(wanted).containsEntry(new Place(C, false), 2).containsEntry(new Place(A, false), 1);
+        assertThat(sum(wanted, false)).isEqualTo(FleetPlan.LEAST_SERVERS);
+    }
+
+    /** A short rush is over before a server has started. */
+    @Test
+    void aShortRushOrdersNoOthers() {
+        FleetPlan plan =
+                new FleetPlan(CHEAP, new Load(10, 90), new Standing(Map.of(), Map.of()), true, Set.of(A, B, C));
+        assertThat(sum(plan.wanted(), false)).isEqualTo(FleetPlan.LEAST_SERVERS);
+    }
 }
