Greet listed nodes at once, and tell new peers what is spent

Ruled out: the list (read at 0.33 s), connections between the nodes (opened within 10 ms). Change: a node in its first five rounds greets up to 16 newly listed nodes at once; a node that joins gets a report of what is spent at once.

--- a/core/src/main/java/org/fuchsiadeck/core/membership/MembershipReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/membership/MembershipReducer.java
@@ -46,8 +46,9 @@
             return Step.of(state.withSeeds(seeded.seeds()));
         }
         if (event instanceof PlatformEvent.Listed listed) {
-            return Step.of(state.withListed(
-                    listed.nodes().stream().map(Peers.Peer::address).toList()));
+            MembershipState next = state.withListed(
+                    listed.nodes().stream().map(Peers.Peer::address).toList());
+            return new Rounds(view).listed(next, state.listed());
         }
         if (event instanceof Lifecycle.Started) {
             MembershipState seeded = state.with(new SplitMix64(view.self().seed()));
--- a/core/src/main/java/org/fuchsiadeck/core/membership/Rounds.java
+++ b/core/src/main/java/org/fuchsiadeck/core/membership/Rounds.java
@@ -34,6 +34,12 @@
     private static final int SEEDS_AT_A_TIME = 3;
     private static final int LEAVE_FANOUT = 16;
 
+    /** Nodes that a new node greets at once: all of a small fleet, so that after a loss of all they soon hear each other. */
+    private static final int JOIN_FANOUT = 16;
+
+    /** Rounds in which a node is new. */
+    private static final int JOIN_ROUNDS = 5;
+
     private final View view;
     private final long nowMs;
     private final Conversation conversation;
@@ -57,6 +63,16 @@
         return new Step<>(next, out);
     }
 
+    /** Greets the nodes that came into the list, while this one is new. */
+    Step<MembershipState> listed(MembershipState state, LinkedHashSet<Address> before) {
+        if (state.probing().round() > JOIN_ROUNDS) {
+            return Step.of(state);
+        }
+        List<Effect> out = new ArrayList<>();
+        Vector<Address> fresh = absent(state).removeAll(before);
+        return new Step<>(syncWith(state, fresh, JOIN_FANOUT, out), out);
+    }
+
     private MembershipState judge(MembershipState state) {
         Probe probe = state.probing().current().getOrNull();
         if (probe == null) {
--- a/core/src/main/java/org/fuchsiadeck/core/share/ShareReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/share/ShareReducer.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 import io.vavr.collection.Map;
 import org.fuchsiadeck.core.Effect;
@@ -13,7 +15,9 @@
 import org.fuchsiadeck.core.SettingsEvent;
 import org.fuchsiadeck.core.Step;
 import org.fuchsiadeck.core.View;
+import org.fuchsiadeck.core.membership.MembershipEvent;
 import org.fuchsiadeck.core.model.NodeId;
+import org.fuchsiadeck.core.model.Peers;
 import org.fuchsiadeck.core.model.TeamId;
 import org.fuchsiadeck.core.platform.PlatformEvent;
 import org.fuchsiadeck.core.share.ShareState.Heard;
@@ -44,6 +48,9 @@
         if (event instanceof PlatformEvent.Listed listed && !listed.nodes().isEmpty()) {
             return Step.of(state.withNodes(listed.nodes().size()));
         }
+        if (event instanceof MembershipEvent.Changed changed) {
+            return new Step<>(state, greet(state, view, changed.peers()));
+        }
         if (event instanceof PlatformEvent returned) {
             Past.Update past = state.past().returned(view, returned);
             return new Step<>(state.with(past.past()), past.effects());
@@ -98,6 +105,19 @@
         return new Step<>(next.with(past.past()), out);
     }
 
+    /** Tells nodes that have just come up at once: until they are heard, each node keeps to its part of the limits. */
+    private static List<Effect> greet(ShareState state, View view, Peers peers) {
+        Set<NodeId> unheard = new HashSet<>(peers.alive().keySet());
+        state.heard().forEach((run, last) -> {
+            if (last.fresh(view.nowMs())) {
+                unheard.remove(run.node());
+            }
+        });
+        List<Effect> out = new ArrayList<>();
+        unheard.forEach(peer -> out.add(new Effect.Send(peer, report(state, view))));
+        return out;
+    }
+
     private static ShareState timed(ShareState state, View view) {
         long now = view.nowMs();
         List<Long> offsets = new ArrayList<>();
--- a/core/src/test/java/org/fuchsiadeck/core/Fleet.java
+++ b/core/src/test/java/org/fuchsiadeck/core/Fleet.java
@@ -101,6 +101,11 @@
         return id;
     }
 
+    /** All nodes read the platform's list at about the same time. */
+    public void readList(long delayMs) {
+        nodes.keySet().forEach(id -> post(id, delayMs, new PlatformEvent.Listed(List.of(), listed())));
+    }
+
     private record ListDue() implements Event {}
 
     private record Action(Runnable run) implements Event {}
