Let the first holder of all make its calls at once

Cause: each holder waits for one lease (3 s) after it takes the duties, so that no call of an earlier one can still be on its way; at the start of a deployment there is no earlier one, and 9 to 12 dear servers are paid meanwhile. Ruled out: the start-up of reclaimable servers (4 s, theirs), the election (0.15 s a turn). Change: a holder writes a key that must not exist before its first call. Whose write takes effect is the first holder and does not wait; all others wait as before, also if the answer to the write was lost. Test: DutyReducerTest.onlyTheFirstHolderOfAllActsAtOnce.

--- a/core/src/main/java/org/fuchsiadeck/core/duty/DutyReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/duty/DutyReducer.java
@@ -59,9 +59,13 @@
         if (next.holding().holds(view)) {
             UseDuty.Update use = next.use().act(view);
             out.addAll(use.effects());
-            next = next.with(use.duty());
+            Term.Update term = next.term().ask(view);
+            out.addAll(term.effects());
+            next = next.with(use.duty()).with(term.term());
+        } else {
+            next = next.with(Term.UNKNOWN);
         }
-        if (next.holding().mayAct(view, next.rules().leaseMs())) {
+        if (next.mayAct(view)) {
             next = act(next, view, out);
         }
         out.add(new Effect.Schedule(view.nowMs() + TICK_MS, new DutyEvent.Tick()));
@@ -93,7 +97,8 @@
         DutyState next = state.with(keys.mirror())
                 .with(holding.holding())
                 .with(state.usage().returned(view.nowMs(), event))
-                .with(state.use().returned(view.nowMs(), event));
+                .with(state.use().returned(view.nowMs(), event))
+                .with(state.term().returned(view.nowMs(), event));
         return new Step<>(next, out);
     }
 
--- a/core/src/main/java/org/fuchsiadeck/core/duty/DutyState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/duty/DutyState.java
@@ -1,5 +1,6 @@
 package org.fuchsiadeck.core.duty;
 
+import org.fuchsiadeck.core.View;
 import org.fuchsiadeck.core.platform.Mirror;
 
 import static java.util.Objects.requireNonNull;
@@ -13,8 +14,10 @@
  * @param usage the reports of use
  * @param orders the orders of backend servers
  * @param use the records of what is spent
+ * @param term whether there was a holder before
  */
-public record DutyState(DutyRules rules, Mirror keys, Holding holding, UsageDuty usage, OrderDuty orders, UseDuty use) {
+public record DutyState(
+        DutyRules rules, Mirror keys, Holding holding, UsageDuty usage, OrderDuty orders, UseDuty use, Term term) {
     static final String PREFIX = "duty/";
 
     /** The holder changes seldom, and its lease bounds what can go wrong meanwhile. */
@@ -27,6 +30,7 @@
         requireNonNull(usage, "usage");
         requireNonNull(orders, "orders");
         requireNonNull(use, "use");
+        requireNonNull(term, "term");
     }
 
     /**
@@ -37,30 +41,48 @@
      */
     public static DutyState initial(DutyRules rules) {
         return new DutyState(
-                rules, Mirror.of(PREFIX, WATCH_WAIT_MS), Holding.NONE, UsageDuty.NONE, OrderDuty.NONE, UseDuty.NONE);
+                rules,
+                Mirror.of(PREFIX, WATCH_WAIT_MS),
+                Holding.NONE,
+                UsageDuty.NONE,
+                OrderDuty.NONE,
+                UseDuty.NONE,
+                Term.UNKNOWN);
+    }
+
+    /** Tells whether the node may make calls that only one holder may make. */
+    boolean mayAct(View view) {
+        return holding.holds(view)
+                && term.first()
+                        .filter(first -> first || holding.since(view) >= rules.leaseMs())
+                        .isPresent();
     }
 
     DutyState with(DutyRules next) {
-        return new DutyState(next, keys, holding, usage, orders, use);
+        return new DutyState(next, keys, holding, usage, orders, use, term);
     }
 
     DutyState with(Mirror next) {
-        return new DutyState(rules, next, holding, usage, orders, use);
+        return new DutyState(rules, next, holding, usage, orders, use, term);
     }
 
     DutyState with(Holding next) {
-        return new DutyState(rules, keys, next, usage, orders, use);
+        return new DutyState(rules, keys, next, usage, orders, use, term);
     }
 
     DutyState with(UsageDuty next) {
-        return new DutyState(rules, keys, holding, next, orders, use);
+        return new DutyState(rules, keys, holding, next, orders, use, term);
     }
 
     DutyState with(OrderDuty next) {
-        return new DutyState(rules, keys, holding, usage, next, use);
+        return new DutyState(rules, keys, holding, usage, next, use, term);
     }
 
     DutyState with(UseDuty next) {
-        return new DutyState(rules, keys, holding, usage, orders, next);
+        return new DutyState(rules, keys, holding, usage, orders, next, term);
+    }
+
+    DutyState with(Term next) {
+        return new DutyState(rules, keys, holding, usage, orders, use, next);
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/duty/Holding.java
+++ b/core/src/main/java/org/fuchsiadeck/core/duty/Holding.java
@@ -56,9 +56,9 @@
         return held && awake;
     }
 
-    /** Tells whether the node may make calls that only one holder may make. */
-    boolean mayAct(View view, long leaseMs) {
-        return holds(view) && view.nowMs() >= heldMs + leaseMs;
+    /** For how long the node has held the duties, in milliseconds. */
+    long since(View view) {
+        return view.nowMs() - heldMs;
     }
 
     long fence() {
--- a/core/src/test/java/org/fuchsiadeck/core/duty/DutyReducerTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/duty/DutyReducerTest.java
@@ -211,6 +211,29 @@
         assertThat(WALL + now - record.wallMs()).isBetween(0L, 1_200L);
     }
 
+    @Test
+    void onlyTheFirstHolderOfAllActsAtOnce() {
+        start("a", "b");
+        run(1_000);
+        assertThat(acting()).hasSize(1);
+        nodes.remove(acting().get(0));
+        Process other = nodes.values().iterator().next();
+        long heldMs = -1;
+        for (int i = 0; i < 200 && acting().isEmpty(); i++) {
+            run(100);
+            heldMs = heldMs < 0 && other.duties.holding().holds(other.view()) ? now : heldMs;
+        }
+        assertThat(acting()).hasSize(1);
+        assertThat(now - heldMs).isGreaterThanOrEqualTo(RULES.leaseMs());
+    }
+
+    private List<NodeId> acting() {
+        return nodes.values().stream()
+                .filter(n -> n.duties.mayAct(n.view()))
+                .map(n -> n.id)
+                .toList();
+    }
+
     @Test
     void reportsEachWindowOnce() {
         start("a", "b", "c");
