Watch briefly after a failed call, so that a cut node soon knows what it missed

A server that began to leave at 14.107 got a request at 16.428, 0.3 s beyond the bound. Ruled out: the list (the other nodes had the change at 14.117), the departure news between nodes (not heard after a cut). Change: after a failed call a watch waits 100 ms, so it is given up after 1.1 s instead of 3 s. Test: MirrorTest.learnsOfChangesSoonAfterALongCut, failing before.

--- a/core/src/main/java/org/fuchsiadeck/core/platform/Mirror.java
+++ b/core/src/main/java/org/fuchsiadeck/core/platform/Mirror.java
@@ -47,6 +47,12 @@
     /** How long an answer may take beyond the wait: many times the few milliseconds it usually takes. */
     static final long CALL_TIMEOUT_MS = 1_000;
 
+    /**
+     * How long a watch waits after a failed call. While the service is out of reach each call is lost whole, so a long one
+     * would still hang for seconds after it is back.
+     */
+    static final long WAIT_AFTER_FAILURE_MS = 100;
+
     private static final long BACKOFF_BASE_MS = 50;
     private static final long BACKOFF_MAX_MS = 1_000;
     private static final int MAX_DOUBLINGS = 10;
@@ -194,7 +200,7 @@
                 next = entry.value().isPresent() ? next.put(entry.key(), entry) : next.remove(entry.key());
             }
         }
-        boolean early = watched.entries().isEmpty() && nowMs - call.get().sentMs() < waitMs / 2;
+        boolean early = watched.entries().isEmpty() && nowMs - call.get().sentMs() < nextWaitMs() / 2;
         Mirror read = answered(nowMs, next, OptionalLong.of(watched.serviceRevision()));
         return read.goOn(nowMs, early ? EARLY_PAUSE_MS : 0, next != items, regained());
     }
@@ -222,15 +228,20 @@
         long number = sequence + 1;
         boolean watch = position.isPresent();
         String tag = "mirror/" + prefix + (watch ? "watch/" : "list/") + number;
-        long deadline = nowMs + CALL_TIMEOUT_MS + (watch ? waitMs : 0);
+        long wait = watch ? nextWaitMs() : 0;
+        long deadline = nowMs + CALL_TIMEOUT_MS + wait;
         Mirror next =
                 with(position, Optional.of(new Call(tag, nowMs, deadline)), number, failures, nextMs, lost, random);
         Effect effect = watch
-                ? new PlatformEffect.Watch(tag, prefix, position.getAsLong(), waitMs)
+                ? new PlatformEffect.Watch(tag, prefix, position.getAsLong(), wait)
                 : new PlatformEffect.ListKeys(tag, prefix);
         return new Update(next, false, List.of(effect));
     }
 
+    private long nextWaitMs() {
+        return failures > 0 ? Math.min(waitMs, WAIT_AFTER_FAILURE_MS) : waitMs;
+    }
+
     private Update failed(long nowMs, String detail) {
         int count = Math.min(failures + 1, MAX_DOUBLINGS);
         boolean log = count >= FAILURES_TO_LOG && !lost;
--- a/core/src/test/java/org/fuchsiadeck/core/platform/MirrorTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/platform/MirrorTest.java
@@ -63,6 +63,27 @@
         assertThat(mirror.items().keySet()).containsExactly("p/a");
     }
 
+    /** A node is cut off for a while; it must know soon after it is back which servers are leaving. */
+    @Test
+    void learnsOfChangesSoonAfterALongCut() {
+        for (long healMs = 8_000; healMs < 12_000; healMs += 150) {
+            mirror = Mirror.of("p/", 2_000).seeded(healMs);
+            last = null;
+            take(mirror.tick(0));
+            listed(5, 10, entry("a", "1", 9));
+            PlatformEffect lost = last;
+            long now = 10;
+            while (now < healMs || last == lost) {
+                lost = now < healMs ? last : lost;
+                now += 50;
+                take(mirror.tick(now));
+            }
+            assertThat(now + Mirror.WAIT_AFTER_FAILURE_MS - healMs)
+                    .as("healed at " + healMs)
+                    .isLessThan(2_300);
+        }
+    }
+
     @Test
     void goesOnWhereItWasAfterASilentConnection() {
         take(mirror.tick(0));
