Log an unreadable server entry once for each revision, and servers' entries by fields

Cause: each change of the list logged all entries again that could not be read, and the lines of entries held their values in free text. Ruled out: a lower rate for the line (it hides the first report of a new entry). Test: DirectoryReducerTest.logsAnUnreadableEntryOnceForEachRevision.

--- a/core/src/main/java/org/fuchsiadeck/core/directory/DirectoryReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/directory/DirectoryReducer.java
@@ -1,6 +1,7 @@
 package org.fuchsiadeck.core.directory;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -123,7 +124,7 @@
             next = next.with(own.get().key());
         }
         if (servers.changed()) {
-            next = decoded(next, now, out);
+            next = decoded(next, state.servers().items(), now, out);
         }
         if (servers.changed() || nodes.changed()) {
             out.add(new Effect.Raise(listed(next)));
@@ -131,10 +132,12 @@
         return new Step<>(next, out);
     }
 
-    private DirectoryState decoded(DirectoryState state, long nowMs, List<Effect> out) {
+    private DirectoryState decoded(
+            DirectoryState state, Map<String, PlatformEvent.Entry> before, long nowMs, List<Effect> out) {
         Map<String, DirectoryState.Registered> next = HashMap.empty();
         for (PlatformEvent.Entry entry : state.servers().items().values()) {
-            Optional<DirectoryState.Registered> read = read(state, entry, out);
+            boolean seen = before.get(entry.key()).exists(e -> e.revision() == entry.revision());
+            Optional<DirectoryState.Registered> read = read(state, entry, seen, out);
             if (read.isPresent()) {
                 next = next.put(entry.key(), read.get());
             }
@@ -157,7 +160,7 @@
     }
 
     private Optional<DirectoryState.Registered> read(
-            DirectoryState state, PlatformEvent.Entry entry, List<Effect> out) {
+            DirectoryState state, PlatformEvent.Entry entry, boolean seen, List<Effect> out) {
         DirectoryState.Registered known = state.decoded().get(entry.key()).getOrNull();
         if (known != null && known.revision() == entry.revision()) {
             return Optional.of(known);
@@ -166,15 +169,25 @@
         Either<String, ServerDecoder.Entry> read =
                 decoder.decode(id, entry.value().orElse(""));
         if (read.isLeft()) {
-            out.add(new Effect.Log(EventCode.BACKEND_UNREADABLE, entry.key() + ": " + read.getLeft()));
+            if (!seen) {
+                Map<String, Object> why =
+                        HashMap.of("key", entry.key(), "revision", entry.revision(), "reason", read.getLeft());
+                out.add(new Effect.Log(EventCode.BACKEND_UNREADABLE, "", why.toJavaMap()));
+            }
             return Optional.empty();
         }
         ServerDecoder.Entry found = read.get();
         Backend backend = found.backend();
-        out.add(new Effect.Log(
-                EventCode.BACKEND_LISTED,
-                backend.id() + " " + backend.service() + " " + backend.version() + " at " + backend.address() + " in "
-                        + backend.zone() + (backend.leaving() ? " leaving" : "") + ", revision " + entry.revision()));
+        java.util.Map<String, Object> fields = new LinkedHashMap<>();
+        fields.put("server", backend.id());
+        fields.put("service", backend.service());
+        fields.put("version", backend.version());
+        fields.put("address", backend.address());
+        fields.put("zone", backend.zone());
+        fields.put("reclaimable", backend.reclaimable());
+        fields.put("leaving", backend.leaving());
+        fields.put("revision", entry.revision());
+        out.add(new Effect.Log(EventCode.BACKEND_LISTED, "", fields));
         OptionalLong notice = found.noticeMs();
         if (notice.isPresent()) {
             out.add(new Effect.Raise(
--- a/core/src/test/java/org/fuchsiadeck/core/directory/DirectoryReducerTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/directory/DirectoryReducerTest.java
@@ -8,6 +8,7 @@
 import io.vavr.control.Either;
 import org.fuchsiadeck.core.Effect;
 import org.fuchsiadeck.core.Event;
+import org.fuchsiadeck.core.EventCode;
 import org.fuchsiadeck.core.Identity;
 import org.fuchsiadeck.core.Lifecycle;
 import org.fuchsiadeck.core.Step;
@@ -35,6 +36,7 @@
     private long now;
     private PlatformEffect servers;
     private PlatformEvent.Listed listed;
+    private int unreadable;
 
     private static Either<String, ServerDecoder.Entry> decode(String id, String value) {
         if (!value.equals("ready") && !value.equals("leaving")) {
@@ -66,6 +68,8 @@
                 servers = call;
             } else if (effect instanceof Effect.Raise raise && raise.event() instanceof PlatformEvent.Listed now) {
                 listed = now;
+            } else if (effect instanceof Effect.Log log && log.code() == EventCode.BACKEND_UNREADABLE) {
+                unreadable++;
             }
         }
     }
@@ -102,6 +106,19 @@
         assertThat(names()).containsExactly("a", "b", "d");
     }
 
+    @Test
+    void logsAnUnreadableEntryOnceForEachRevision() {
+        watched(11, entry("c", "??", 11));
+        watched(12, entry("d", "ready", 12));
+        assertThat(unreadable).isEqualTo(1);
+        watched(13, entry("c", "?", 13));
+        assertThat(unreadable).isEqualTo(2);
+    }
+
+    private void watched(long revision, PlatformEvent.Entry entry) {
+        take(new PlatformEvent.Watched(servers.tag(), List.of(entry), revision, false));
+    }
+
     @Test
     void aRemovedServerGetsNoNewWork() {
         take(new PlatformEvent.Watched(servers.tag(), List.of(entry("a", null, 11)), 11, false));
--- a/node/src/main/java/org/fuchsiadeck/node/log/EventFormatter.java
+++ b/node/src/main/java/org/fuchsiadeck/node/log/EventFormatter.java
@@ -58,6 +58,8 @@
         for (Map.Entry<String, Object> field : log.fields().entrySet()) {
             if (field.getValue() instanceof Number number) {
                 json.writeNumberField(field.getKey(), number.longValue());
+            } else if (field.getValue() instanceof Boolean flag) {
+                json.writeBooleanField(field.getKey(), flag);
             } else {
                 json.writeStringField(field.getKey(), String.valueOf(field.getValue()));
             }
