One type for the outcome of a duty's step

Cause: five records of the same shape stood side by side in the duties, and patience was given the same constant at each call. Moved only; DutyReducerTest, FleetPlanTest and RequestReducerTest unchanged.

--- a/core/src/main/java/org/fuchsiadeck/core/duty/DutyReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/duty/DutyReducer.java
@@ -51,17 +51,17 @@
         DutyState next = state.with(keys.mirror());
         if (keys.mirror().known()) {
             String mine = view.self().id() + " " + view.use().own().startedWallMs();
-            Holding.Update holding = next.holding()
+            Update<Holding> holding = next.holding()
                     .tick(view, entry(next, Holding.KEY), mine, next.rules().leaseMs());
             out.addAll(holding.effects());
-            next = next.with(holding.holding());
+            next = next.with(holding.next());
         }
         if (next.holding().holds(view)) {
-            UseDuty.Update use = next.use().act(view);
+            Update<UseDuty> use = next.use().act(view);
             out.addAll(use.effects());
-            Term.Update term = next.term().ask(view);
+            Update<Term> term = next.term().ask(view);
             out.addAll(term.effects());
-            next = next.with(use.duty()).with(term.term());
+            next = next.with(use.next()).with(term.next());
         } else {
             next = next.with(Term.UNKNOWN);
         }
@@ -74,28 +74,28 @@
 
     private DutyState act(DutyState state, View view, List<Effect> out) {
         long fence = state.holding().fence();
-        UsageDuty.Update usage = state.usage().act(view, state.rules(), fence, entry(state, UsageDuty.KEY));
+        Update<UsageDuty> usage = state.usage().act(view, state.rules(), fence, entry(state, UsageDuty.KEY));
         out.addAll(usage.effects());
-        OrderDuty.Update orders = state.orders().act(view, fence);
+        Update<OrderDuty> orders = state.orders().act(view, fence);
         out.addAll(orders.effects());
-        return state.with(usage.duty()).with(orders.duty());
+        return state.with(usage.next()).with(orders.next());
     }
 
     private static Step<DutyState> called(DutyState state, View view, DutyEvent.Called event) {
-        UsageDuty.Update usage = state.usage().called(view.nowMs(), event);
-        OrderDuty.Update orders = state.orders().called(view.nowMs(), event);
+        Update<UsageDuty> usage = state.usage().called(view.nowMs(), event);
+        Update<OrderDuty> orders = state.orders().called(view.nowMs(), event);
         List<Effect> out = new ArrayList<>(usage.effects());
         out.addAll(orders.effects());
-        return new Step<>(state.with(usage.duty()).with(orders.duty()), out);
+        return new Step<>(state.with(usage.next()).with(orders.next()), out);
     }
 
     private Step<DutyState> returned(DutyState state, View view, PlatformEvent event) {
         Mirror.Update keys = state.keys().returned(view.nowMs(), event);
-        Holding.Update holding = state.holding().returned(view, event);
+        Update<Holding> holding = state.holding().returned(view, event);
         List<Effect> out = new ArrayList<>(keys.effects());
         out.addAll(holding.effects());
         DutyState next = state.with(keys.mirror())
-                .with(holding.holding())
+                .with(holding.next())
                 .with(state.usage().returned(view.nowMs(), event))
                 .with(state.use().returned(view.nowMs(), event))
                 .with(state.term().returned(view.nowMs(), event));
--- a/core/src/main/java/org/fuchsiadeck/core/duty/Holding.java
+++ b/core/src/main/java/org/fuchsiadeck/core/duty/Holding.java
@@ -41,14 +41,6 @@
         requireNonNull(lease, "lease");
     }
 
-    /**
-     * A change of what is held.
-     *
-     * @param holding the holding after it
-     * @param effects what to do
-     */
-    record Update(Holding holding, List<Effect> effects) {}
-
     /** Tells whether the node holds the duties; an earlier holder's calls may still be on their way. */
     boolean holds(View view) {
         boolean held = lease.filter(k -> k.held(view.nowMs(), MARGIN_MS)).isPresent();
@@ -65,7 +57,7 @@
         return lease.map(LeasedKey::revision).orElse(0L);
     }
 
-    Update tick(View view, Optional<PlatformEvent.Entry> entry, String mine, long leaseMs) {
+    Update<Holding> tick(View view, Optional<PlatformEvent.Entry> entry, String mine, long leaseMs) {
         long now = view.nowMs();
         if (lease.isPresent()) {
             LeasedKey key = entry.filter(e -> e.value().filter(mine::equals).isPresent())
@@ -79,19 +71,19 @@
             return called(view, key.tick(now));
         }
         if (entry.isPresent()) {
-            return new Update(new Holding(lease, -1, -1, askedOffsetMs, provenOffsetMs), List.of());
+            return new Update<>(new Holding(lease, -1, -1, askedOffsetMs, provenOffsetMs), List.of());
         }
         long since = absentMs < 0 ? now : absentMs;
         if (now < since + TURN_MS * turn(view)) {
-            return new Update(new Holding(lease, since, -1, askedOffsetMs, provenOffsetMs), List.of());
+            return new Update<>(new Holding(lease, since, -1, askedOffsetMs, provenOffsetMs), List.of());
         }
         return new Holding(Optional.of(LeasedKey.of(KEY, mine, true, leaseMs)), since, -1, 0, 0)
                 .tick(view, entry, mine, leaseMs);
     }
 
-    Update returned(View view, PlatformEvent event) {
+    Update<Holding> returned(View view, PlatformEvent event) {
         if (lease.isEmpty()) {
-            return new Update(this, List.of());
+            return new Update<>(this, List.of());
         }
         LeasedKey.Update update = lease.get().returned(view.nowMs(), event);
         boolean conflict = event instanceof PlatformEvent.Conflicted
@@ -100,7 +92,7 @@
         return conflict ? lost("another node") : called(view, update);
     }
 
-    private Update called(View view, LeasedKey.Update update) {
+    private Update<Holding> called(View view, LeasedKey.Update update) {
         LeasedKey before = lease.get();
         LeasedKey after = update.key();
         long offset = view.wallMs() - view.nowMs();
@@ -116,12 +108,12 @@
         } else if (!holds && heldMs >= 0) {
             out.add(new Effect.Log(EventCode.DUTY_LOST, "the lease ended"));
         }
-        return new Update(next, out);
+        return new Update<>(next, out);
     }
 
-    private Update lost(String to) {
+    private Update<Holding> lost(String to) {
         List<Effect> out = heldMs >= 0 ? List.of(new Effect.Log(EventCode.DUTY_LOST, "held by " + to)) : List.of();
-        return new Update(new Holding(Optional.empty(), -1, -1, 0, 0), out);
+        return new Update<>(new Holding(Optional.empty(), -1, -1, 0, 0), out);
     }
 
     private static int turn(View view) {
--- a/core/src/main/java/org/fuchsiadeck/core/duty/OrderDuty.java
+++ b/core/src/main/java/org/fuchsiadeck/core/duty/OrderDuty.java
@@ -124,14 +124,6 @@
      */
     record Sample(long atMs, Map<String, Integer> busy) {}
 
-    /**
-     * A change of the duty.
-     *
-     * @param duty the duty after it
-     * @param effects what to do
-     */
-    record Update(OrderDuty duty, List<Effect> effects) {}
-
     OrderDuty listed(long nowMs, List<Backend> backends) {
         io.vavr.collection.Map<Subject, Withheld> taken = withheld;
         for (Backend backend : backends) {
@@ -148,10 +140,10 @@
     }
 
     /** Makes the next order, if one is due; only the holder may call this. */
-    Update act(View view, long fence) {
+    Update<OrderDuty> act(View view, long fence) {
         OrderDuty next = sampled(view);
         if (!next.call.free(view.nowMs())) {
-            return new Update(next, List.of());
+            return new Update<>(next, List.of());
         }
         for (Scaling scaling : view.config().scaling()) {
             if (!next.settled(scaling.service())) {
@@ -167,7 +159,7 @@
                 }
             }
         }
-        return new Update(next, List.of());
+        return new Update<>(next, List.of());
     }
 
     /** More servers are ordered before fewer, and reclaimable ones before others. */
@@ -178,9 +170,9 @@
                 .toList();
     }
 
-    Update called(long nowMs, DutyEvent.Called event) {
+    Update<OrderDuty> called(long nowMs, DutyEvent.Called event) {
         if (!call.awaits(event.tag())) {
-            return new Update(this, List.of());
+            return new Update<>(this, List.of());
         }
         Order order = asked.orElseThrow();
         Subject subject = order.subject();
@@ -202,10 +194,10 @@
                 asked,
                 next,
                 sequence);
-        return new Update(after, List.of(log));
+        return new Update<>(after, List.of(log));
     }
 
-    private Update order(long fence, Order order, FleetPlan plan) {
+    private Update<OrderDuty> order(long fence, Order order, FleetPlan plan) {
         String tag = "orders/" + sequence;
         Subject subject = order.subject();
         Effect effect = new DutyEffect.OrderServers(
@@ -233,7 +225,7 @@
                 Optional.of(order),
                 PendingCall.call(tag, order.atMs()),
                 sequence + 1);
-        return new Update(next, List.of(log, effect));
+        return new Update<>(next, List.of(log, effect));
     }
 
     private OrderDuty sampled(View view) {
--- a/core/src/main/java/org/fuchsiadeck/core/duty/Term.java
+++ b/core/src/main/java/org/fuchsiadeck/core/duty/Term.java
@@ -31,23 +31,15 @@
         requireNonNull(first, "first");
     }
 
-    /**
-     * A change of what is known.
-     *
-     * @param term what is known after it
-     * @param effects what to do
-     */
-    record Update(Term term, List<Effect> effects) {}
-
     /** Asks, if that is not known; only the holder may call this. */
-    Update ask(View view) {
+    Update<Term> ask(View view) {
         long now = view.nowMs();
         if (first.isPresent() || !write.free(now)) {
-            return new Update(this, List.of());
+            return new Update<>(this, List.of());
         }
         String tag = KEY + "/" + now;
         Effect put = new PlatformEffect.Put(tag, KEY, view.self().id().value(), OptionalLong.of(MUST_NOT_EXIST));
-        return new Update(new Term(PendingCall.call(tag, now), first), List.of(put));
+        return new Update<>(new Term(PendingCall.call(tag, now), first), List.of(put));
     }
 
     /** Takes the answer. A write whose answer was lost is in conflict with itself, and the node waits. */
--- a/core/src/main/java/org/fuchsiadeck/core/duty/UsageDuty.java
+++ b/core/src/main/java/org/fuchsiadeck/core/duty/UsageDuty.java
@@ -46,16 +46,8 @@
         requireNonNull(call, "call");
     }
 
-    /**
-     * A change of the duty.
-     *
-     * @param duty the duty after it
-     * @param effects what to do
-     */
-    record Update(UsageDuty duty, List<Effect> effects) {}
-
     /** Makes the next call, if one is due; only the holder may call this. */
-    Update act(View view, DutyRules rules, long fence, Optional<PlatformEvent.Entry> entry) {
+    Update<UsageDuty> act(View view, DutyRules rules, long fence, Optional<PlatformEvent.Entry> entry) {
         long now = view.nowMs();
         long wall = view.use().trueWallMs(now);
         UsageBook book =
@@ -69,7 +61,7 @@
             }
             Optional<Map<TeamId, Long>> counts = book.counts(window);
             if (counts.isPresent()) {
-                return call.free(now) ? report(now, fence, window, counts.get()) : new Update(this, List.of());
+                return call.free(now) ? report(now, fence, window, counts.get()) : new Update<>(this, List.of());
             }
             boolean whole = view.use().hearsAll(now) || sinceEndMs >= rules.usageLateMs() / 2;
             Map<TeamId, Long> begun = view.use().begunIn(window);
@@ -77,12 +69,12 @@
                 return written(now, book.with(window, begun), entry.map(PlatformEvent.Entry::revision));
             }
         }
-        return new Update(this, List.of());
+        return new Update<>(this, List.of());
     }
 
-    Update called(long nowMs, DutyEvent.Called event) {
+    Update<UsageDuty> called(long nowMs, DutyEvent.Called event) {
         if (!call.awaits(event.tag())) {
-            return new Update(this, List.of());
+            return new Update<>(this, List.of());
         }
         long window = Long.parseLong(event.tag().split("/")[1]);
         boolean done = event.result() == DutyEvent.Result.DONE;
@@ -92,7 +84,7 @@
         Effect log = new Effect.Log(
                 done ? EventCode.USAGE_REPORTED : EventCode.DUTY_CALL_FAILED,
                 "usage of window " + window + " " + event.detail());
-        return new Update(new UsageDuty(kept, write, next, sequence), List.of(log));
+        return new Update<>(new UsageDuty(kept, write, next, sequence), List.of(log));
     }
 
     UsageDuty returned(long nowMs, PlatformEvent event) {
@@ -101,16 +93,16 @@
                 : this;
     }
 
-    private Update report(long nowMs, long fence, long window, Map<TeamId, Long> counts) {
+    private Update<UsageDuty> report(long nowMs, long fence, long window, Map<TeamId, Long> counts) {
         String tag = "usage/" + window + "/" + sequence;
         List<Effect> out = new ArrayList<>();
         out.add(new DutyEffect.ReportUsage(tag, fence, window, counts));
-        return new Update(new UsageDuty(reported, write, PendingCall.call(tag, nowMs), sequence + 1), out);
+        return new Update<>(new UsageDuty(reported, write, PendingCall.call(tag, nowMs), sequence + 1), out);
     }
 
-    private Update written(long nowMs, UsageBook book, Optional<Long> revision) {
+    private Update<UsageDuty> written(long nowMs, UsageBook book, Optional<Long> revision) {
         String tag = "duty/write/" + sequence;
         Effect put = new PlatformEffect.Put(tag, KEY, book.write(), OptionalLong.of(revision.orElse(0L)));
-        return new Update(new UsageDuty(reported, PendingCall.call(tag, nowMs), call, sequence + 1), List.of(put));
+        return new Update<>(new UsageDuty(reported, PendingCall.call(tag, nowMs), call, sequence + 1), List.of(put));
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/duty/UseDuty.java
+++ b/core/src/main/java/org/fuchsiadeck/core/duty/UseDuty.java
@@ -31,24 +31,16 @@
         requireNonNull(write, "write");
     }
 
-    /**
-     * A change of the duty.
-     *
-     * @param duty the duty after it
-     * @param effects what to do
-     */
-    record Update(UseDuty duty, List<Effect> effects) {}
-
     /** Writes the next record if it is due and all nodes are heard. */
-    Update act(View view) {
+    Update<UseDuty> act(View view) {
         long now = view.nowMs();
         Optional<UseRecord> record = write.free(now) ? view.use().record(now) : Optional.empty();
         if (record.isEmpty()) {
-            return new Update(this, List.of());
+            return new Update<>(this, List.of());
         }
         String tag = TAG + "/" + now;
         Effect put = new PlatformEffect.Put(tag, UseRecord.KEY, record.get().write(), OptionalLong.empty());
-        return new Update(new UseDuty(PendingCall.call(tag, now)), List.of(put));
+        return new Update<>(new UseDuty(PendingCall.call(tag, now)), List.of(put));
     }
 
     UseDuty returned(long nowMs, PlatformEvent event) {
--- a/core/src/main/java/org/fuchsiadeck/core/request/Watchdog.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Watchdog.java
@@ -62,8 +62,7 @@
     /** Returns the longest wait for the first byte. A whole completion begins when its last token is computed. */
     static long firstByteMs(Turn turn, Exchange exchange) {
         Backend backend = exchange.attempt().get().backend();
-        long timeout = Math.min(
-                Policies.of(turn, exchange, backend).firstByteTimeoutMs(), patienceMs(exchange, FIRST_BYTE_TARGETS));
+        long timeout = Math.min(Policies.of(turn, exchange, backend).firstByteTimeoutMs(), patienceMs(exchange));
         if (exchange.call().stream() || exchange.call().completion().isEmpty()) {
             return timeout;
         }
@@ -76,14 +75,14 @@
     static long chunkMs(Turn turn, Exchange exchange) {
         Backend backend = exchange.attempt().get().backend();
         long timeout = Policies.of(turn, exchange, backend).chunkTimeoutMs();
-        return patienceMs(exchange, FIRST_BYTE_TARGETS) == Long.MAX_VALUE ? timeout : Math.min(timeout, MAX_PAUSE_MS);
+        return patienceMs(exchange) == Long.MAX_VALUE ? timeout : Math.min(timeout, MAX_PAUSE_MS);
     }
 
     /** How long to wait where another server may be asked: callers expect the answer within the route's target. */
-    private static long patienceMs(Exchange exchange, double targets) {
+    private static long patienceMs(Exchange exchange) {
         long target = exchange.route().terms().targetMs();
         boolean another = exchange.idempotent() && target > 0;
-        return another ? Math.max(MIN_PATIENCE_MS, Math.round(target * targets)) : Long.MAX_VALUE;
+        return another ? Math.max(MIN_PATIENCE_MS, Math.round(target * FIRST_BYTE_TARGETS)) : Long.MAX_VALUE;
     }
 
     private static void overdue(Turn turn, Exchange exchange) {
@@ -112,7 +111,7 @@
             }
             case CANCELLING -> Retries.failed(turn, exchange, timeout(attempt, Failure.Step.AWAITING));
             default -> {
-                boolean patient = patienceMs(exchange, FIRST_BYTE_TARGETS) < Long.MAX_VALUE;
+                boolean patient = patienceMs(exchange) < Long.MAX_VALUE;
                 if (patient && !Retries.mayAskAnother(turn, exchange)) {
                     rearm(turn, exchange.at(exchange.stage(), attempt.due(turn.nowMs() + MIN_PATIENCE_MS)));
                     return;
