Hold requests that come before a new node's first configuration

Ruled out: quotas and hearing the others (no request refused after that time), the servers (listed before the configuration).

--- a/core/src/main/java/org/fuchsiadeck/core/EventCode.java
+++ b/core/src/main/java/org/fuchsiadeck/core/EventCode.java
@@ -39,6 +39,7 @@
     PEER_LINK_REPLACED(3202, Level.WARN, "A connection to an entry node went silent and is replaced."),
     CONFIG_APPLIED(4001, Level.INFO, "A configuration is in force on this node."),
     CONFIG_REJECTED(4002, Level.ERROR, "A configuration from the platform's service could not be used."),
+    CALLS_HELD(4003, Level.INFO, "Requests that came before the node knew a configuration go on."),
     PLATFORM_UNAVAILABLE(4101, Level.WARN, "The platform's service does not answer."),
     PLATFORM_AVAILABLE(4102, Level.INFO, "The platform's service answers again."),
     DUTY_TAKEN(4201, Level.INFO, "The node holds the duties towards the platform."),
--- a/node/src/main/java/org/fuchsiadeck/node/front/CallerHandler.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerHandler.java
@@ -41,11 +41,18 @@
     private final RefusalLog refusals;
     private final Meter requests;
     private final Executor pump;
+    private final EarlyCalls early;
     private final BooleanSupplier draining;
     private final long maxBodyBytes;
     private final Room room;
 
-    CallerHandler(Front front, RefusalLog refusals, RequestIds ids, Executor pump, BooleanSupplier draining) {
+    CallerHandler(
+            Front front,
+            RefusalLog refusals,
+            RequestIds ids,
+            Executor pump,
+            EarlyCalls early,
+            BooleanSupplier draining) {
         this.protocol = front.protocol();
         this.ids = ids;
         this.exchanges = front.exchanges();
@@ -54,6 +61,7 @@
         this.refusals = refusals;
         this.requests = front.metrics().meter("front.requests");
         this.pump = pump;
+        this.early = early;
         this.draining = draining;
         this.maxBodyBytes = front.limits().maxBodyBytes();
         this.room = new Room(front.budget(), front.limits().maxBufferedBytes() / 2, Integer.MAX_VALUE);
@@ -93,10 +101,17 @@
             refuse(answer, BodyReader.nodeFull(), true);
             return;
         }
+        Call call = new Call(id, answer, connection);
+        if (!early.hold(() -> begin(request, call))) {
+            begin(request, call);
+        }
+    }
+
+    private void begin(Request request, Call call) {
         try {
-            read(request, new Call(id, answer, connection));
+            read(request, call);
         } catch (BadCallException e) {
-            refuse(answer, e.refusal(), true);
+            refuse(call.answer(), e.refusal(), true);
         }
     }
 
--- a/node/src/main/java/org/fuchsiadeck/node/front/CallerServer.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerServer.java
@@ -22,11 +22,13 @@
     private final HttpServer server;
     private final ConnectionGuard guard;
     private final ExecutorService pump;
+    private final EarlyCalls early;
 
-    private CallerServer(HttpServer server, ConnectionGuard guard, ExecutorService pump) {
+    private CallerServer(HttpServer server, ConnectionGuard guard, ExecutorService pump, EarlyCalls early) {
         this.server = server;
         this.guard = guard;
         this.pump = pump;
+        this.early = early;
     }
 
     /**
@@ -51,16 +53,18 @@
         server.addListener(listener);
         server.getServerConfiguration().setMaxPostSize(UNLIMITED);
         server.getServerConfiguration().setPassTraceRequest(true);
+        EarlyCalls early = new EarlyCalls(front.configuration(), pump, front.log());
         server.getServerConfiguration()
-                .addHttpHandler(new CallerHandler(front, refusals, ids, pump, guard::isDraining), "/");
+                .addHttpHandler(new CallerHandler(front, refusals, ids, pump, early, guard::isDraining), "/");
         try {
             server.start();
         } catch (IOException e) {
+            early.close();
             server.shutdownNow();
             pump.shutdownNow();
             throw e;
         }
-        return new CallerServer(server, guard, pump);
+        return new CallerServer(server, guard, pump, early);
     }
 
     private static NetworkListener listener(Front front, int threads) {
@@ -113,6 +117,7 @@
     /** Closes the server and all its connections. */
     @Override
     public void close() {
+        early.close();
         server.shutdownNow();
         pump.shutdownNow();
     }
