Serve callers that have not noticed yet that a node is to stop

Cause: the platform takes a node out after it was not ready at two questions, a second apart; until then callers go on sending to it.

--- a/node/src/main/java/org/fuchsiadeck/node/Drain.java
+++ b/node/src/main/java/org/fuchsiadeck/node/Drain.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import java.util.function.IntSupplier;
-import java.util.function.LongConsumer;
 
 /**
  * A graceful shutdown: begins once, and ends when all is answered or the notice is over.
@@ -17,33 +16,52 @@
 
     private static final long HANDOVER_NANOS = TimeUnit.SECONDS.toNanos(3);
 
-    private final LongConsumer begin;
+    private final Begin begin;
     private final IntSupplier open;
     private final BooleanSupplier handedOver;
+    private final long intakeMs;
     private final AtomicBoolean requested = new AtomicBoolean();
     private final CountDownLatch begun = new CountDownLatch(1);
     private volatile boolean allAnswered;
     private volatile long endNanos;
+    private volatile long intakeEndNanos;
+
+    /** Begins the shutdown. */
+    @FunctionalInterface
+    interface Begin {
+        /**
+         * Begins the shutdown.
+         *
+         * @param noticeMs the time left, in milliseconds
+         * @param intakeMs for how long requests are still taken, in milliseconds
+         */
+        void begin(long noticeMs, long intakeMs);
+    }
 
     /**
      * Creates a shutdown that was not asked for yet.
      *
-     * @param begin takes the notice, in milliseconds, when the shutdown begins
+     * @param begin called once when the shutdown begins
      * @param open counts the requests without a complete answer
      * @param handedOver whether other nodes have taken over what this one keeps for the callers
+     * @param intakeMs for how long requests are still taken, in milliseconds
      */
-    Drain(LongConsumer begin, IntSupplier open, BooleanSupplier handedOver) {
+    Drain(Begin begin, IntSupplier open, BooleanSupplier handedOver, long intakeMs) {
         this.begin = begin;
         this.open = open;
         this.handedOver = handedOver;
+        this.intakeMs = intakeMs;
     }
 
     void request(long noticeMs) {
         if (!requested.compareAndSet(false, true)) {
             return;
         }
-        endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Math.max(0, noticeMs));
-        begin.accept(noticeMs);
+        long now = System.nanoTime();
+        long takeMs = Math.min(intakeMs, Math.max(0, noticeMs) / 2);
+        endNanos = now + TimeUnit.MILLISECONDS.toNanos(Math.max(0, noticeMs));
+        intakeEndNanos = now + TimeUnit.MILLISECONDS.toNanos(takeMs);
+        begin.begin(noticeMs, takeMs);
         begun.countDown();
     }
 
@@ -62,7 +80,7 @@
         long idleSince = System.nanoTime();
         while (System.nanoTime() < endNanos) {
             long now = System.nanoTime();
-            if (open.getAsInt() > 0) {
+            if (open.getAsInt() > 0 || now < intakeEndNanos) {
                 idleSince = now;
             } else if (done(now - idleSince)) {
                 return;
--- a/node/src/main/java/org/fuchsiadeck/node/Housekeeping.java
+++ b/node/src/main/java/org/fuchsiadeck/node/Housekeeping.java
@@ -7,7 +7,7 @@
 import org.jboss.logging.Logger;
 
 /**
- * Runs chores at fixed intervals on one thread.
+ * Runs chores at fixed intervals, or once after a delay, on one thread.
  */
 final class Housekeeping implements AutoCloseable {
     private static final Logger LOG = Logger.getLogger(Housekeeping.class);
@@ -19,6 +19,10 @@
         executor.scheduleWithFixedDelay(() -> run(chore), 0, intervalMs, TimeUnit.MILLISECONDS);
     }
 
+    void after(long delayMs, Runnable chore) {
+        executor.schedule(() -> run(chore), delayMs, TimeUnit.MILLISECONDS);
+    }
+
     private static void run(Runnable chore) {
         try {
             chore.run();
--- a/node/src/main/java/org/fuchsiadeck/node/Node.java
+++ b/node/src/main/java/org/fuchsiadeck/node/Node.java
@@ -65,6 +65,7 @@
     private final Effects effects = new Effects();
     private final EventLoop loop;
     private final Drain drain;
+    private final Housekeeping chores = new Housekeeping();
     private final AtomicBoolean started = new AtomicBoolean();
     private BackendClient backends;
     private CallerServer callers;
@@ -76,7 +77,11 @@
         this.exchanges = new Exchanges(settings.limits().maxStreams());
         this.budget = new ByteBudget(settings.limits().maxBufferedBytes());
         this.loop = new EventLoop(initial(settings), parts.decisions(), effects, metrics);
-        this.drain = new Drain(this::beginDrain, () -> exchanges.size() + callers.unfinished(), this::handedOver);
+        this.drain = new Drain(
+                this::beginDrain,
+                () -> exchanges.size() + callers.unfinished(),
+                this::handedOver,
+                settings.drainIntakeMs());
     }
 
     /**
@@ -139,7 +144,7 @@
         loop.start();
         loop.post(new Lifecycle.Started());
         loop.post(new MembershipEvent.Seeded(settings.peerSeeds()));
-        Housekeeping chores = closer.add(new Housekeeping());
+        closer.add(chores);
         if (!parts.directory()) {
             chores.every(settings.cloudPollMs(), instances::poll);
         }
@@ -223,10 +228,18 @@
         return alone || state.claims().handedOver(state.self().id());
     }
 
-    private void beginDrain(long noticeMs) {
-        log.write(EventCode.NODE_DRAINING, settings.identity().id() + " notice " + noticeMs + " ms");
+    /** Callers notice only after some time that a node is not ready any more, so it goes on for them until then. */
+    private void beginDrain(long noticeMs, long intakeMs) {
+        log.write(
+                EventCode.NODE_DRAINING,
+                settings.identity().id() + " notice " + noticeMs + " ms, requests taken for " + intakeMs + " ms");
         callers.drain();
-        loop.post(new Lifecycle.StopRequested(noticeMs));
+        Lifecycle stop = new Lifecycle.StopRequested(noticeMs - intakeMs);
+        if (intakeMs > 0) {
+            chores.after(intakeMs, () -> loop.post(stop));
+        } else {
+            loop.post(stop);
+        }
     }
 
     private void postListing(Event event) {
--- a/node/src/main/java/org/fuchsiadeck/node/settings/Settings.java
+++ b/node/src/main/java/org/fuchsiadeck/node/settings/Settings.java
@@ -27,6 +27,8 @@
  * @param cloud where the platform serves the list of instances
  * @param cloudPollMs time between readings of the list, in milliseconds
  * @param drainNoticeMs longest time for a graceful shutdown that names no notice, in milliseconds
+ * @param drainIntakeMs for how long a node that is to stop, and says so, takes requests of callers that have not noticed
+ *     yet, in milliseconds
  * @param logLevel the least level of the node's own log lines
  * @param configuration a file with a configuration that does not change, for tests; empty to use the platform's
  * @param limits what the node takes from callers and backend servers
@@ -46,6 +48,7 @@
         Address cloud,
         long cloudPollMs,
         long drainNoticeMs,
+        long drainIntakeMs,
         LogLevel logLevel,
         Optional<Path> configuration,
         Limits limits,
@@ -67,6 +70,7 @@
         requireNonNull(cloud, "cloud");
         Checks.inRange(cloudPollMs, MIN_POLL_MS, MAX_MS, "cloud.poll_ms");
         Checks.inRange(drainNoticeMs, 0, MAX_MS, "drain_notice_ms");
+        Checks.inRange(drainIntakeMs, 0, MAX_MS, "drain_intake_ms");
         requireNonNull(logLevel, "logLevel");
         requireNonNull(configuration, "configuration");
         requireNonNull(limits, "limits");
@@ -94,6 +98,7 @@
                 cloud,
                 cloudPollMs,
                 drainNoticeMs,
+                drainIntakeMs,
                 logLevel,
                 configuration,
                 limits,
--- a/node/src/main/java/org/fuchsiadeck/node/settings/SettingsFile.java
+++ b/node/src/main/java/org/fuchsiadeck/node/settings/SettingsFile.java
@@ -70,6 +70,7 @@
                 keys.parsed("cloud.address", Address::parse),
                 checked(keys, "cloud.poll_ms", DEFAULT_POLL_MS, 10),
                 drainNotice(keys),
+                duration(keys, "drain_intake", 0, 0),
                 keys.optional("log_level", SettingsFile::level).orElse(LogLevel.INFO),
                 configuration(file, keys),
                 limits(keys),
@@ -85,20 +86,20 @@
     private static ShareRules sharing(Keys keys) {
         ShareRules absent = ShareRules.DEFAULT;
         return new ShareRules(
-                duration(keys, "sharing.quota_window", absent.quotaWindowMs()),
+                duration(keys, "sharing.quota_window", absent.quotaWindowMs(), 1),
                 keys.decimal("sharing.quota_overage", absent.quotaOverage()),
                 keys.decimal("sharing.quota_slack", absent.quotaSlack()),
-                duration(keys, "sharing.retry_window", absent.retryWindowMs()),
+                duration(keys, "sharing.retry_window", absent.retryWindowMs(), 1),
                 keys.decimal("sharing.retry_ratio", absent.retryRatio()),
                 keys.decimal("sharing.retry_slack", absent.retrySlack()),
-                duration(keys, "sharing.usage_window", absent.usageWindowMs()));
+                duration(keys, "sharing.usage_window", absent.usageWindowMs(), 1));
     }
 
     private static DutyRules duties(Keys keys) {
         return new DutyRules(
-                duration(keys, "duties.lease", DutyRules.DEFAULT.leaseMs()),
-                duration(keys, "sharing.usage_window", ShareRules.DEFAULT.usageWindowMs()),
-                duration(keys, "duties.usage_late", DutyRules.DEFAULT.usageLateMs()));
+                duration(keys, "duties.lease", DutyRules.DEFAULT.leaseMs(), 1),
+                duration(keys, "sharing.usage_window", ShareRules.DEFAULT.usageWindowMs(), 1),
+                duration(keys, "duties.usage_late", DutyRules.DEFAULT.usageLateMs(), 1));
     }
 
     private static Identity identity(Keys keys) {
@@ -133,19 +134,20 @@
 
     private static long drainNotice(Keys keys) {
         return keys.has("drain_notice_s")
-                ? duration(keys, "drain_notice", DEFAULT_DRAIN_NOTICE_MS)
+                ? duration(keys, "drain_notice", DEFAULT_DRAIN_NOTICE_MS, 1)
                 : checked(keys, "drain_notice_ms", DEFAULT_DRAIN_NOTICE_MS, 0);
     }
 
     /** Reads a time that may be given as {@code key_ms}, a whole number, or as {@code key_s}, with a fraction. */
-    private static long duration(Keys keys, String key, long absentMs) {
+    private static long duration(Keys keys, String key, long absentMs, long leastMs) {
         String seconds = key + "_s";
         if (!keys.has(seconds)) {
-            return checked(keys, key + "_ms", absentMs, 1);
+            return checked(keys, key + "_ms", absentMs, leastMs);
         }
         long value = Math.round(keys.decimal(seconds, 0) * MS_PER_SECOND);
-        if (value < 1 || value > MAX_MS) {
-            throw new SettingsException(seconds, "must be from 0.001 to 3600, was " + value / MS_PER_SECOND);
+        if (value < leastMs || value > MAX_MS) {
+            throw new SettingsException(
+                    seconds, "must be from " + leastMs / MS_PER_SECOND + " to 3600, was " + value / MS_PER_SECOND);
         }
         return value;
     }
--- a/node/src/test/java/org/fuchsiadeck/node/testing/TestNode.java
+++ b/node/src/test/java/org/fuchsiadeck/node/testing/TestNode.java
@@ -155,6 +155,7 @@
                 list,
                 50,
                 2_000,
+                0,
                 LogLevel.INFO,
                 Optional.empty(),
                 limits,
