Move a request to no more servers than its route allows

Change: servers that a request was moved from count against the limit, since they may still be running; where none is left the request stays where it is to the end of the notice, and is resumed when the server is gone. Test: RouteTermsTest.movesARequestToNoMoreServersThanItsRouteAllows, failing before.

--- a/core/src/main/java/org/fuchsiadeck/core/request/Departures.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Departures.java
@@ -40,6 +40,12 @@
         if (departure.isEmpty() || !movable(exchange)) {
             return;
         }
+        if (!exchange.history()
+                .abandoned(Cause.MOVE)
+                .mayRunOnMore(exchange.route().terms().maxAttempts())) {
+            turn.decide(exchange, Decision.Kind.STAYS, Optional.of(attempt.backend()), "no further server allowed");
+            return;
+        }
         long graceMs = Policies.of(turn, exchange, attempt.backend()).leavingGraceMs();
         long endMs = departure.get().byMs() - graceMs;
         if (turn.nowMs() < endMs && turn.nowMs() + remainingMs(turn, exchange) <= endMs) {
--- a/core/src/main/java/org/fuchsiadeck/core/request/History.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/History.java
@@ -21,6 +21,7 @@
  * @param runs attempts that ended and may have run
  * @param errorOf the attempt whose answer, an error of the backend server, is passed on if nothing better comes; 0 for
  *     none
+ * @param moves attempts that were given up for another server while they may still have run
  */
 public record History(
         int attempts,
@@ -31,9 +32,11 @@
         Set<BackendId> failedAt,
         Cause next,
         int runs,
-        int errorOf) {
+        int errorOf,
+        int moves) {
     /** Nothing has come yet. */
-    public static final History NONE = new History(0, 0, false, 0, Option.none(), HashSet.empty(), Cause.FRESH, 0, 0);
+    public static final History NONE =
+            new History(0, 0, false, 0, Option.none(), HashSet.empty(), Cause.FRESH, 0, 0, 0);
 
     public History {
         requireNonNull(version, "version");
@@ -51,18 +54,27 @@
     }
 
     History dispatched() {
-        return new History(attempts + 1, failures, exposed, delivered, version, failedAt, next, runs, errorOf);
+        return new History(attempts + 1, failures, exposed, delivered, version, failedAt, next, runs, errorOf, moves);
     }
 
     History relayed(Backend backend) {
         return new History(
-                attempts, failures, exposed, delivered, Option.some(backend.version()), failedAt, next, runs, errorOf);
+                attempts,
+                failures,
+                exposed,
+                delivered,
+                Option.some(backend.version()),
+                failedAt,
+                next,
+                runs,
+                errorOf,
+                moves);
     }
 
     History progressed(int tokens) {
         return tokens <= delivered
                 ? this
-                : new History(attempts, 0, exposed, tokens, version, HashSet.empty(), next, runs, errorOf);
+                : new History(attempts, 0, exposed, tokens, version, HashSet.empty(), next, runs, errorOf, moves);
     }
 
     History failed(BackendId at, boolean mayHaveRun, Cause then) {
@@ -76,15 +88,26 @@
                 failedAt.add(at),
                 then,
                 ran,
-                errorOf);
+                errorOf,
+                moves);
     }
 
     History answered(int attempt) {
-        return new History(attempts, failures, exposed, delivered, version, failedAt, next, runs, attempt);
+        return new History(attempts, failures, exposed, delivered, version, failedAt, next, runs, attempt, moves);
+    }
+
+    /**
+     * Tells whether one more server may run the request. Servers that it was moved from count: they may still be running.
+     *
+     * @param most the most servers that the route allows; 0 for any number
+     * @return whether there is one left
+     */
+    boolean mayRunOnMore(int most) {
+        return most == 0 || runs + moves < most;
     }
 
     /** An attempt given up before the data path told how far it came may have run. */
     History abandoned(Cause then) {
-        return new History(attempts, failures, true, delivered, version, failedAt, then, runs, errorOf);
+        return new History(attempts, failures, true, delivered, version, failedAt, then, runs, errorOf, moves + 1);
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/request/Retries.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Retries.java
@@ -59,9 +59,8 @@
     private static boolean worthwhile(Turn turn, Exchange exchange) {
         History history = exchange.history();
         boolean resumable = !history.begun() || exchange.tokenStream();
-        int runs = exchange.route().terms().maxAttempts();
-        boolean left =
-                history.failures() < Policies.of(turn, exchange).maxAttempts() && (runs == 0 || history.runs() < runs);
+        boolean left = history.failures() < Policies.of(turn, exchange).maxAttempts()
+                && history.mayRunOnMore(exchange.route().terms().maxAttempts());
         return resumable && left && turn.nowMs() < exchange.deadlineMs();
     }
 
--- a/core/src/test/java/org/fuchsiadeck/core/request/RouteTermsTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/request/RouteTermsTest.java
@@ -8,6 +8,7 @@
 import org.fuchsiadeck.core.config.RouteTerms;
 import org.fuchsiadeck.core.model.Backend;
 import org.fuchsiadeck.core.model.RequestId;
+import org.fuchsiadeck.core.platform.PlatformEvent;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -97,4 +98,22 @@
         assertThat(node.take(new RequestEvent.CallerGone(new RequestId("r"))))
                 .noneMatch(RequestEffect.Cancel.class::isInstance);
     }
+
+    /** Two zones of reclaimable servers are taken away within a second. */
+    @Test
+    void movesARequestToNoMoreServersThanItsRouteAllows() {
+        node.arrive("r", READ);
+        node.writing("r", 1);
+        List<RequestEffect.Dispatch> moved = dispatches(leaving(node.effects));
+        assertThat(moved).hasSize(1);
+        node.writing("r", 2);
+        assertThat(dispatches(leaving(node.effects))).isEmpty();
+        assertThat(node.state.decisions().last().kind()).isEqualTo(Decision.Kind.STAYS);
+    }
+
+    private List<Effect> leaving(List<Effect> before) {
+        List<RequestEffect.Dispatch> all = dispatches(before);
+        String at = all.get(all.size() - 1).backend().id().value();
+        return node.take(new PlatformEvent.ReclaimNoticed(at, 10));
+    }
 }
