Log lost attempts and the parts of prompts

Cause: REQUEST_RETRIED and REQUEST_OUTCOME_UNKNOWN name a lost request in free text, and no line names what is in a prompt. Change: ATTEMPT_LOST for each closed connection after the request was written: request, route, team, server, attempt, cause, step, tokens, time and parts. REQUEST_ANSWERED has the parts too. Completions know the ids of the parts that other prompts may contain. No decision changes.

--- a/core/src/main/java/org/fuchsiadeck/core/request/ActiveRequest.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/ActiveRequest.java
@@ -1,5 +1,7 @@
 package org.fuchsiadeck.core.request;
 
+import java.util.List;
+
 import io.vavr.control.Option;
 import org.fuchsiadeck.core.config.Route;
 import org.fuchsiadeck.core.limit.Ticket;
@@ -171,6 +173,11 @@
         return history.exposed() || attempt.isDefined();
     }
 
+    /** Returns the ids of the parts of the prompt that other requests may contain too. */
+    List<String> parts() {
+        return call.completion().map(CallerRequest.Completion::parts).orElse(List.of());
+    }
+
     Need need() {
         return new Need(
                 route.service(),
--- a/core/src/main/java/org/fuchsiadeck/core/request/AttemptAccounting.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/AttemptAccounting.java
@@ -1,5 +1,6 @@
 package org.fuchsiadeck.core.request;
 
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.UnaryOperator;
 
@@ -53,9 +54,28 @@
             return evidence == Evidence.NONE ? next : next.withFailure(failure.kind() + " " + failure.detail());
         });
         recordSuspicion(reduction, id, wasUnsuspected || attempt.trial(), failure);
+        if (failure.kind() == Failure.Kind.CLOSED && attempt.written()) {
+            logLost(reduction, request, failure);
+        }
         closeAttempt(reduction, request, leaving ? Verdict.NEUTRAL : verdictOf(failure), -1);
     }
 
+    private static void logLost(RequestReduction reduction, ActiveRequest request, Failure failure) {
+        Attempt attempt = request.attempt().get();
+        Map<String, Object> fields = new LinkedHashMap<>();
+        fields.put("request", request.id());
+        fields.put("route", request.route().name());
+        fields.put("team", request.call().team());
+        fields.put("server", attempt.backend().id());
+        fields.put("attempt", attempt.number());
+        fields.put("cause", attempt.cause());
+        fields.put("step", failure.step());
+        fields.put("tokens", attempt.tokens() - attempt.startTokens());
+        fields.put("took_ms", reduction.nowMs() - attempt.dispatchedMs());
+        fields.put("parts", request.parts());
+        reduction.log(EventCode.ATTEMPT_LOST, fields);
+    }
+
     /** Records the end of an attempt for a reason that does not concern the server. */
     static void recordAbandoned(RequestReduction reduction, ActiveRequest request) {
         Attempt attempt = request.attempt().get();
--- a/core/src/main/java/org/fuchsiadeck/core/request/AttemptEventHandler.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/AttemptEventHandler.java
@@ -92,6 +92,9 @@
         fields.put("first_ms", completed.attempt().get().firstByteLatencyMs());
         fields.put("took_ms", reduction.nowMs() - attempt.dispatchedMs());
         fields.put("delivered", event.deliveredTokens());
+        if (!request.parts().isEmpty()) {
+            fields.put("parts", request.parts());
+        }
         reduction.log(EventCode.REQUEST_ANSWERED, fields);
         RequestFinisher.finishAnswered(reduction, completed.withoutAttempt());
     }
--- a/core/src/main/java/org/fuchsiadeck/core/request/CallerRequest.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/CallerRequest.java
@@ -87,6 +87,7 @@
      * @param prefix hashes of the prompt's prefixes, shortest first, one for each block of tokens
      * @param prefixTokens lengths of those prefixes, in tokens, in the same order; empty if each prefix is one block
      *     longer than the one before
+     * @param parts ids of the parts of the prompt that other prompts may contain too, whatever precedes them there
      * @param promptTokens length of the prompt, in tokens
      * @param maxTokens greatest number of tokens to generate
      */
@@ -95,6 +96,7 @@
             Optional<String> adapter,
             List<Long> prefix,
             List<Integer> prefixTokens,
+            List<String> parts,
             int promptTokens,
             int maxTokens) {
         public Completion {
@@ -102,6 +104,7 @@
             requireNonNull(adapter, "adapter");
             prefix = List.copyOf(prefix);
             prefixTokens = List.copyOf(prefixTokens);
+            parts = List.copyOf(parts);
             if (!prefixTokens.isEmpty() && prefixTokens.size() != prefix.size()) {
                 throw new IllegalArgumentException("expected as many prefix lengths as prefixes, got "
                         + prefixTokens.size() + " and " + prefix.size());
@@ -111,7 +114,8 @@
         }
 
         /**
-         * Creates a completion whose prefixes are each one block of tokens longer than the one before.
+         * Creates a completion whose prefixes are each one block of tokens longer than the one before. Each prefix is a
+         * part of its own, since nothing else is known that other prompts may contain.
          *
          * @param model the model
          * @param adapter the adapter, if one is requested
@@ -120,7 +124,14 @@
          * @param maxTokens greatest number of tokens to generate
          */
         public Completion(String model, Optional<String> adapter, List<Long> prefix, int promptTokens, int maxTokens) {
-            this(model, adapter, prefix, List.of(), promptTokens, maxTokens);
+            this(
+                    model,
+                    adapter,
+                    prefix,
+                    List.of(),
+                    prefix.stream().map(Long::toHexString).toList(),
+                    promptTokens,
+                    maxTokens);
         }
     }
 }
