Take no repeated refusal for the refusal of another attempt

What callers saw: operators of a similar system reported that clients were told 'not run, try again' for requests that a server had run, or that such a request ran at a second server (REFUSED, TWICE). It happens here too. Cause: a refusal without a request id was taken for the answer of the request that the connection carried, also on a connection that had carried others; and a second attempt of a request at the same server could use a kept connection, where the repeated refusal of its first attempt bears the right id. Change: a refusal that names no request counts only if it is the first answer on its connection. A second attempt at a server uses a new connection. The product's own protocol names request and attempt in each answer and is not affected.

--- a/core/src/main/java/org/fuchsiadeck/core/request/Dispatcher.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Dispatcher.java
@@ -111,9 +111,13 @@
     /**
      * Returns how recently a pooled connection must have answered to be used, in milliseconds; 0 for a new connection. A
      * fault that silenced one connection may have silenced others: to the same server, and to all servers from this node.
+     * A second attempt at the same server needs a new connection, since a server may repeat its refusal of the first one
+     * on the others.
      */
     private static long maxConnectionAgeMs(RequestReduction reduction, ActiveRequest request, BackendStatus server) {
-        if (!server.health().isClean()) {
+        boolean repeated =
+                request.history().failedAt().contains(server.backend().id());
+        if (repeated || !server.health().isClean()) {
             return 0;
         }
         boolean mayUseOlder = request.idempotent() && request.history().failures() == 0;
--- a/core/src/test/java/org/fuchsiadeck/core/request/RequestReducerTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/request/RequestReducerTest.java
@@ -50,6 +50,18 @@
                 .isZero();
     }
 
+    /** A server that repeats its refusal on another connection would answer for an attempt that it runs. */
+    @Test
+    void dispatchesASecondAttemptAtTheSameServerOnANewConnection() {
+        node.listBackends(apps(1));
+        node.arrive("r", MEAL);
+        node.startWriting("r", 1);
+        List<Effect> retried = node.failAttempt("r", 1, Failure.Step.STREAMING, Failure.Kind.REFUSED_NOT_RUN);
+        RequestEffect.Dispatch second = firstDispatch(retried);
+        assertThat(second.attempt()).isEqualTo(2);
+        assertThat(second.maxIdleMs()).isZero();
+    }
+
     @Test
     void refusesRequestsThatCannotBeServed() {
         assertThat(firstResponse(node.arrive("a", MEAL)).reason()).isEqualTo("no_backend");
--- a/node/src/main/java/org/fuchsiadeck/node/backend/AnswerHead.java
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/AnswerHead.java
@@ -13,7 +13,7 @@
  * Status, headers and load report from the head of an answer.
  *
  * @param status the HTTP status
- * @param matchesAttempt whether the answer belongs to the attempt that is waiting
+ * @param match whether the answer belongs to the attempt that is waiting
  * @param answeredAttempt request and attempt that the answer names, for the log
  * @param notRun whether the server reports that it did not run the request
  * @param forwardsError whether a server error is forwarded to the caller unchanged
@@ -25,7 +25,7 @@
  */
 public record AnswerHead(
         int status,
-        boolean matchesAttempt,
+        Match match,
         String answeredAttempt,
         boolean notRun,
         boolean forwardsError,
@@ -38,6 +38,7 @@
     private static final int NOT_MODIFIED = 304;
 
     public AnswerHead {
+        requireNonNull(match, "match");
         requireNonNull(answeredAttempt, "answers");
         requireNonNull(report, "report");
         requireNonNull(invalidReport, "unreadable");
@@ -59,6 +60,16 @@
         return noBody || head.isChunked() || head.getContentLength() >= 0;
     }
 
+    /** Whether an answer belongs to the attempt that is waiting for one. */
+    public enum Match {
+        /** It names the attempt's request. */
+        NAMED,
+        /** It is a refusal that names no request. It can be told from a repeated one only on an unused connection. */
+        UNNAMED_REFUSAL,
+        /** It belongs to another request, or it can't be told to which. */
+        OTHER
+    }
+
     boolean isEventStream() {
         return contentType.filter(t -> t.startsWith("text/event-stream")).isPresent();
     }
--- a/node/src/main/java/org/fuchsiadeck/node/backend/Attempt.java
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/Attempt.java
@@ -115,7 +115,7 @@
         }
         AnswerHead head = resources.protocol().parseHead(packet, dispatch);
         markStreaming();
-        if (!head.matchesAttempt()) {
+        if (!isAwaited(head)) {
             resources.logStaleAnswer(dispatch, "received an answer to " + head.answeredAttempt() + " for " + id());
             fail(Kind.BAD_ANSWER, "the answer belongs to another request");
             return;
@@ -125,6 +125,11 @@
         startReading(head);
     }
 
+    private boolean isAwaited(AnswerHead head) {
+        return head.match() == AnswerHead.Match.NAMED
+                || head.match() == AnswerHead.Match.UNNAMED_REFUSAL && connection.isFirstAnswer();
+    }
+
     private void startReading(AnswerHead head) {
         if (head.notRun()) {
             fail(Kind.REFUSED_NOT_RUN, "status " + head.status() + ", not run");
--- a/node/src/main/java/org/fuchsiadeck/node/backend/StandardBackendProtocol.java
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/StandardBackendProtocol.java
@@ -69,7 +69,7 @@
                 && String.valueOf(dispatch.attempt()).equals(attempt);
         return new AnswerHead(
                 head.getStatus(),
-                awaited,
+                awaited ? AnswerHead.Match.NAMED : AnswerHead.Match.OTHER,
                 (id == null ? "no request" : id) + " attempt " + (attempt == null ? "none" : attempt),
                 head.getStatus() == UNAVAILABLE && "1".equals(head.getHeader(Headers.NOT_RUN)),
                 false,
--- a/node/src/main/java/org/fuchsiadeck/node/client/HttpConnection.java
+++ b/node/src/main/java/org/fuchsiadeck/node/client/HttpConnection.java
@@ -41,6 +41,7 @@
     private volatile long lastReadNanos = openedNanos;
     private ResponseListener listener;
     private HttpResponsePacket head;
+    private int answers;
     private boolean keepAlive = true;
     private long idleLimitMs = Long.MAX_VALUE;
     private Consumer<String> onUnexpectedData = detail -> {};
@@ -177,6 +178,15 @@
         return keepAlive && listener == null && connection.isOpen() && sinceLastReadMs() < idleLimitMs;
     }
 
+    /**
+     * Returns whether the answer that is being received is the first one on this connection.
+     *
+     * @return whether no other answer was received before
+     */
+    public boolean isFirstAnswer() {
+        return answers == 1;
+    }
+
     void handleContent(HttpContent content) {
         lastReadNanos = System.nanoTime();
         HttpResponsePacket packet = (HttpResponsePacket) content.getHttpHeader();
@@ -188,6 +198,7 @@
         }
         if (head != packet) {
             head = packet;
+            answers++;
             keepAlive = packet.getProcessingState().isKeepAlive();
             idleLimitMs = idleLimitMs(packet);
             current.onHead(packet);
