Log the end of a quarantine for which no request came

What operators saw: nothing; PROMPT_PART_RELEASED was logged for answered parts only, though its description names both ends. And with more than 256 losses that may be due to prompts, the oldest was dropped and told again by the next node that had it. Cause: expired quarantines were removed without the comparison that logs changes; the oldest loss gave way to the newest. Change: expiry goes through the same step as all changes; at 512 losses new ones are left out. Evidence: PromptCrashTest.aQuarantineForWhichNoRequestComesEndsAndIsLogged, which failed to find the line before.

--- a/core/src/main/java/org/fuchsiadeck/core/quarantine/QuarantineReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/quarantine/QuarantineReducer.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 
+import io.vavr.collection.Set;
 import io.vavr.collection.TreeSet;
 import io.vavr.collection.Vector;
 import org.fuchsiadeck.core.Effect;
@@ -149,18 +150,19 @@
                 .toJavaList();
     }
 
-    private static boolean isCovered(Quarantine quarantine, io.vavr.collection.Set<TreeSet<String>> others) {
+    private static boolean isCovered(Quarantine quarantine, Set<TreeSet<String>> others) {
         return others.exists(quarantine.parts()::containsAll);
     }
 
     private static Step<QuarantineState> onTick(QuarantineState state, View view) {
-        QuarantineState next = state.withoutExpired(view.nowMs());
+        Step<QuarantineState> expired = publish(state, state.withoutExpired(view.nowMs()), List.of(), view);
+        QuarantineState next = expired.state();
         if (next.isEmpty()) {
-            return Step.of(next.withTicking(false));
+            return new Step<>(next.withTicking(false), expired.effects());
         }
         QuarantineNews all = everything(next, view.nowMs());
         String key = view.self().id() + "/quarantines/" + view.nowMs();
-        List<Effect> out = new ArrayList<>();
+        List<Effect> out = new ArrayList<>(expired.effects());
         if (!all.isEmpty()) {
             Rendezvous.rank(key, view.peers().alive().keySet(), NodeId::value).stream()
                     .limit(SYNC_NODES)
--- a/core/src/main/java/org/fuchsiadeck/core/quarantine/QuarantineState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/quarantine/QuarantineState.java
@@ -31,7 +31,7 @@
         Map<TreeSet<String>, Quarantine> quarantines,
         Peers peers,
         boolean ticking) {
-    private static final int MAX_LOSSES = 256;
+    private static final int MAX_LOSSES = 512;
     private static final int MAX_QUARANTINES = 64;
     private static final long LOSS_RETENTION_MS = 60_000;
 
@@ -130,13 +130,13 @@
      *
      * @param loss the loss
      * @param nowMs the time, in milliseconds
-     * @return the next state; this one if the loss is known or none of its parts can be to blame
+     * @return the next state; this one if the loss is known, none of its parts can be to blame, or there are too many
      */
     public QuarantineState withLoss(PromptLoss loss, long nowMs) {
-        if (losses.exists(loss::isSameAttempt) || !isOpen(loss)) {
+        if (losses.size() >= MAX_LOSSES || losses.exists(loss::isSameAttempt) || !isOpen(loss)) {
             return this;
         }
-        QuarantineState next = withLosses(losses.append(loss).takeRight(MAX_LOSSES));
+        QuarantineState next = withLosses(losses.append(loss));
         Option<Quarantine> known =
                 quarantines.values().find(q -> q.covers(loss.parts().toJavaSet()));
         if (known.isDefined()) {
--- a/core/src/test/java/org/fuchsiadeck/core/quarantine/PromptCrashTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/quarantine/PromptCrashTest.java
@@ -194,6 +194,15 @@
         assertThat(fleet.crashes).hasSizeBetween(crashes + 1, crashes + 2);
     }
 
+    @Test
+    void aQuarantineForWhichNoRequestComesEndsAndIsLogged() {
+        CrashingFleet fleet = quarantined(1);
+        fleet.runFor(700_000);
+        assertThat(fleet.logLines).containsKey(EventCode.PROMPT_PART_RELEASED);
+        assertThat(fleet.nodes.values())
+                .allMatch(n -> n.quarantine().quarantines().isEmpty());
+    }
+
     /** A part that was answered for a long time can begin to crash engines when these change. */
     @Test
     void aPartThatWasAnsweredBeforeIsPutInQuarantineToo() {
