Take a closed connection for a crash only if the server answers no more

Cause: each closed connection before the answer counted as a crash. Engines with too many connections reset further ones within milliseconds; a rare part met four such engines in a row. Change: a loss counts after 500 ms, and not if the server has answered an attempt that was dispatched after it, at whichever node; nodes tell each other of such answers. Parts are judged then, not at the loss. Evidence: PromptCrashTest.enginesThatCloseConnectionsButAnswerOthersPutNoPartInQuarantine failed before; the other tests of the class pass as before.

--- a/core/src/main/java/org/fuchsiadeck/core/quarantine/CrashRule.java
+++ b/core/src/main/java/org/fuchsiadeck/core/quarantine/CrashRule.java
@@ -10,11 +10,15 @@
 /**
  * The rule by which lost attempts are attributed to a part of their prompts.
  *
- * <p>A loss counts if the part was not answered after the dispatch. Servers may crash together for a reason of their own,
+ * <p>A loss counts if the part was not answered after the dispatch, and the server has had time to answer others, which
+ * would show that it only closed a connection. Servers may crash together for a reason of their own,
  * and then many prompts are lost at once; so losses count as several crashes only if they came one after the other, each
  * of an attempt that was dispatched after the loss before it.
  */
 final class CrashRule {
+    /** Time in which a server that is up answers some attempt that was dispatched after the loss. */
+    static final long CONFIRMATION_MS = 500;
+
     private static final int MIN_REQUESTS = 2;
     private static final int MIN_CRASHES = 3;
 
@@ -25,7 +29,8 @@
 
     /** Returns the quarantine that follows from the losses of a part, if there are enough of them. */
     static Option<Quarantine> verdict(String part, Vector<PromptLoss> losses, AnsweredParts answered, long nowMs) {
-        List<PromptLoss> counted = losses.filter(l -> l.parts().contains(part) && isCounted(l, part, answered))
+        List<PromptLoss> counted = losses.filter(l -> l.lostMs() <= nowMs - CONFIRMATION_MS)
+                .filter(l -> l.parts().contains(part) && isCounted(l, part, answered))
                 .groupBy(PromptLoss::server)
                 .values()
                 .map(CrashRule::withMostParts)
--- a/core/src/main/java/org/fuchsiadeck/core/quarantine/QuarantineEvent.java
+++ b/core/src/main/java/org/fuchsiadeck/core/quarantine/QuarantineEvent.java
@@ -3,6 +3,7 @@
 import java.util.List;
 
 import org.fuchsiadeck.core.Event;
+import org.fuchsiadeck.core.model.BackendId;
 
 import static java.util.Objects.requireNonNull;
 
@@ -32,6 +33,21 @@
         }
     }
 
+    /**
+     * A backend server with a recorded loss answered an attempt, so that it may not have crashed.
+     *
+     * @param server the server
+     * @param dispatchedMs the time of dispatch of the answered attempt, in milliseconds
+     */
+    record ServerAnswered(BackendId server, long dispatchedMs) implements QuarantineEvent {
+        public ServerAnswered {
+            requireNonNull(server, "server");
+        }
+    }
+
+    /** The losses until now can be judged, since the servers had time to answer others. */
+    record ReviewDue() implements QuarantineEvent {}
+
     /**
      * A request is sent to a backend server to try whether its prompt still crashes servers.
      *
--- a/core/src/main/java/org/fuchsiadeck/core/quarantine/QuarantineNews.java
+++ b/core/src/main/java/org/fuchsiadeck/core/quarantine/QuarantineNews.java
@@ -16,16 +16,19 @@
  * @param losses lost attempts
  * @param quarantines quarantines in force
  * @param answers answered parts that were under suspicion
+ * @param servers servers with a loss that answered an attempt dispatched after it
  */
-public record QuarantineNews(List<Loss> losses, List<Entry> quarantines, List<Answer> answers) implements PeerMessage {
+public record QuarantineNews(List<Loss> losses, List<Entry> quarantines, List<Answer> answers, List<LiveServer> servers)
+        implements PeerMessage {
     public QuarantineNews {
         losses = List.copyOf(losses);
         quarantines = List.copyOf(quarantines);
         answers = List.copyOf(answers);
+        servers = List.copyOf(servers);
     }
 
     boolean isEmpty() {
-        return losses.isEmpty() && quarantines.isEmpty() && answers.isEmpty();
+        return losses.isEmpty() && quarantines.isEmpty() && answers.isEmpty() && servers.isEmpty();
     }
 
     /**
@@ -95,4 +98,16 @@
             requireNonNull(part, "part");
         }
     }
+
+    /**
+     * A server that did not crash.
+     *
+     * @param server the server
+     * @param dispatchedAgoMs the time since the dispatch of the attempt that it answered, in milliseconds
+     */
+    public record LiveServer(BackendId server, long dispatchedAgoMs) {
+        public LiveServer {
+            requireNonNull(server, "server");
+        }
+    }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/quarantine/QuarantineReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/quarantine/QuarantineReducer.java
@@ -22,6 +22,7 @@
 import org.fuchsiadeck.core.model.Rendezvous;
 import org.fuchsiadeck.core.quarantine.QuarantineNews.Answer;
 import org.fuchsiadeck.core.quarantine.QuarantineNews.Entry;
+import org.fuchsiadeck.core.quarantine.QuarantineNews.LiveServer;
 import org.fuchsiadeck.core.quarantine.QuarantineNews.Loss;
 
 /**
@@ -42,12 +43,19 @@
     public Step<QuarantineState> reduce(QuarantineState state, View view, Event event) {
         long now = view.nowMs();
         if (event instanceof QuarantineEvent.Lost lost) {
-            return publish(state, state.withLoss(lost.loss(), now), List.of(), view);
+            return publish(state, state.withLoss(lost.loss(), now), Proofs.NONE, view);
+        }
+        if (event instanceof QuarantineEvent.ReviewDue) {
+            return publish(state, state.reviewed(now), Proofs.NONE, view);
+        }
+        if (event instanceof QuarantineEvent.ServerAnswered answered) {
+            LiveServer server = new LiveServer(answered.server(), now - answered.dispatchedMs());
+            return onProofs(state, view, new Proofs(List.of(), List.of(server)));
         }
         if (event instanceof QuarantineEvent.Answered answered) {
             List<Answer> answers =
                     answered.parts().stream().map(p -> new Answer(p, 0)).toList();
-            return onAnswers(state, view, answers);
+            return onProofs(state, view, new Proofs(answers, List.of()));
         }
         if (event instanceof QuarantineEvent.TrialStarted trial) {
             Effect log = new Effect.Log(EventCode.PROMPT_PART_TRIED, "", Map.of("parts", trial.parts()));
@@ -65,14 +73,28 @@
         return Step.of(state);
     }
 
-    private static Step<QuarantineState> onAnswers(QuarantineState state, View view, List<Answer> answers) {
-        List<Answer> useful = new ArrayList<>();
+    /** Answers of parts and of servers, which end suspicions. */
+    private record Proofs(List<Answer> answers, List<LiveServer> servers) {
+        static final Proofs NONE = new Proofs(List.of(), List.of());
+    }
+
+    /** Applies the proofs, and passes on those that change something. */
+    private static Step<QuarantineState> onProofs(QuarantineState state, View view, Proofs proofs) {
+        long now = view.nowMs();
+        Proofs useful = new Proofs(new ArrayList<>(), new ArrayList<>());
         QuarantineState next = state;
-        for (Answer answer : answers) {
+        for (Answer answer : proofs.answers()) {
             if (next.isSuspect(answer.part())) {
-                useful.add(answer);
+                useful.answers().add(answer);
+            }
+            next = next.withAnswer(answer.part(), now - answer.agoMs());
+        }
+        for (LiveServer server : proofs.servers()) {
+            QuarantineState known = next.withServerAnswer(server.server(), now - server.dispatchedAgoMs());
+            if (known != next) {
+                useful.servers().add(server);
             }
-            next = next.withAnswer(answer.part(), view.nowMs() - answer.agoMs());
+            next = known;
         }
         return publish(state, next, useful, view);
     }
@@ -82,7 +104,7 @@
         List<Answer> suspect = news.answers().stream()
                 .filter(a -> state.answered().lastMs(a.part()) < now - a.agoMs())
                 .toList();
-        Step<QuarantineState> answered = onAnswers(state, view, suspect);
+        Step<QuarantineState> answered = onProofs(state, view, new Proofs(suspect, news.servers()));
         List<Effect> out = new ArrayList<>(answered.effects());
         QuarantineState next = answered.state();
         for (Loss loss : news.losses()) {
@@ -101,16 +123,16 @@
                     .forEach(p -> refuting.add(answer(current, p, now)));
         }
         if (!refuting.isEmpty()) {
-            out.add(new Effect.Send(from, new QuarantineNews(List.of(), List.of(), refuting)));
+            out.add(new Effect.Send(from, new QuarantineNews(List.of(), List.of(), refuting, List.of())));
         }
-        Step<QuarantineState> published = publish(answered.state(), next, List.of(), view);
+        Step<QuarantineState> published = publish(answered.state(), next, Proofs.NONE, view);
         out.addAll(published.effects());
         return new Step<>(published.state(), out);
     }
 
     /** Tells the other nodes and the log what has changed, and the other reducers which quarantines have started. */
     private static Step<QuarantineState> publish(
-            QuarantineState before, QuarantineState after, List<Answer> answers, View view) {
+            QuarantineState before, QuarantineState after, Proofs proofs, View view) {
         long now = view.nowMs();
         List<Effect> out = new ArrayList<>();
         List<Entry> started = new ArrayList<>();
@@ -127,7 +149,11 @@
                     .filter(q -> !isCovered(q, after.quarantines().keySet()))
                     .forEach(q -> out.add(log(EventCode.PROMPT_PART_RELEASED, q)));
         }
-        QuarantineNews news = new QuarantineNews(newLosses(before, after, now), started, answers);
+        List<Loss> losses = newLosses(before, after, now);
+        if (!losses.isEmpty()) {
+            out.add(new Effect.Schedule(now + CrashRule.CONFIRMATION_MS, new QuarantineEvent.ReviewDue()));
+        }
+        QuarantineNews news = new QuarantineNews(losses, started, proofs.answers(), proofs.servers());
         if (!news.isEmpty()) {
             String key = view.self().id() + "/quarantine/" + now;
             view.peers().gossipTargets(key).forEach(peer -> out.add(new Effect.Send(peer, news)));
@@ -155,7 +181,7 @@
     }
 
     private static Step<QuarantineState> onTick(QuarantineState state, View view) {
-        Step<QuarantineState> expired = publish(state, state.withoutExpired(view.nowMs()), List.of(), view);
+        Step<QuarantineState> expired = publish(state, state.withoutExpired(view.nowMs()), Proofs.NONE, view);
         QuarantineState next = expired.state();
         if (next.isEmpty()) {
             return new Step<>(next.withTicking(false), expired.effects());
@@ -202,7 +228,8 @@
         return new QuarantineNews(
                 recent.map(l -> Loss.of(l, nowMs)).toJavaList(),
                 state.quarantines().values().map(q -> Entry.of(q, nowMs)).toJavaList(),
-                answers);
+                answers,
+                List.of());
     }
 
     private static Answer answer(QuarantineState state, String part, long nowMs) {
--- a/core/src/main/java/org/fuchsiadeck/core/quarantine/QuarantineState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/quarantine/QuarantineState.java
@@ -10,6 +10,7 @@
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
 import org.fuchsiadeck.core.View;
+import org.fuchsiadeck.core.model.BackendId;
 import org.fuchsiadeck.core.model.NodeId;
 import org.fuchsiadeck.core.model.Peers;
 import org.fuchsiadeck.core.model.Rendezvous;
@@ -21,6 +22,7 @@
  *
  * @param losses the recent losses of all nodes that may be due to a part, oldest first
  * @param answered the parts of answered requests
+ * @param servers the latest time of dispatch, in milliseconds, of an attempt that a server with a loss answered
  * @param quarantines the quarantines, by their parts
  * @param peers the other nodes after the last change
  * @param ticking whether the next exchange with other nodes is scheduled
@@ -28,6 +30,7 @@
 public record QuarantineState(
         Vector<PromptLoss> losses,
         AnsweredParts answered,
+        Map<BackendId, Long> servers,
         Map<TreeSet<String>, Quarantine> quarantines,
         Peers peers,
         boolean ticking) {
@@ -46,6 +49,7 @@
     public QuarantineState {
         requireNonNull(losses, "losses");
         requireNonNull(answered, "answered");
+        requireNonNull(servers, "servers");
         requireNonNull(quarantines, "quarantines");
         requireNonNull(peers, "peers");
     }
@@ -56,7 +60,8 @@
      * @return the initial state
      */
     public static QuarantineState initial() {
-        return new QuarantineState(Vector.empty(), AnsweredParts.NONE, HashMap.empty(), Peers.NONE, false);
+        return new QuarantineState(
+                Vector.empty(), AnsweredParts.NONE, HashMap.empty(), HashMap.empty(), Peers.NONE, false);
     }
 
     /** What may be done with a request. */
@@ -126,31 +131,57 @@
     }
 
     /**
-     * Returns the state after a loss, with the quarantine that it starts or renews.
+     * Returns whether an answer of a server matters: it shows that the server did not crash at a recorded loss.
+     *
+     * @param server the server
+     * @param dispatchedMs the time of dispatch of the answered attempt, in milliseconds
+     * @return whether the attempt was dispatched after a loss
+     */
+    public boolean isLossBefore(BackendId server, long dispatchedMs) {
+        return losses.exists(l -> l.server().equals(server) && l.lostMs() < dispatchedMs);
+    }
+
+    /**
+     * Returns the state after a loss, with the quarantine that it renews.
      *
      * @param loss the loss
      * @param nowMs the time, in milliseconds
      * @return the next state; this one if the loss is known, none of its parts can be to blame, or there are too many
      */
-    public QuarantineState withLoss(PromptLoss loss, long nowMs) {
+    QuarantineState withLoss(PromptLoss loss, long nowMs) {
         if (losses.size() >= MAX_LOSSES || losses.exists(loss::isSameAttempt) || !isOpen(loss)) {
             return this;
         }
         QuarantineState next = withLosses(losses.append(loss));
         Option<Quarantine> known =
                 quarantines.values().find(q -> q.covers(loss.parts().toJavaSet()));
-        if (known.isDefined()) {
-            return known.get().isConfirmedBy(loss)
-                    ? next.withQuarantine(known.get().renewed(nowMs))
-                    : next;
-        }
-        for (String part : loss.parts()) {
-            Option<Quarantine> verdict = CrashRule.verdict(part, next.losses, answered, nowMs);
+        return known.filter(q -> q.isConfirmedBy(loss))
+                .map(q -> next.withQuarantine(q.renewed(nowMs)))
+                .getOrElse(next);
+    }
+
+    /** Starts the quarantines that follow from the losses. */
+    QuarantineState reviewed(long nowMs) {
+        QuarantineState next = this;
+        Vector<PromptLoss> unexplained = losses.reject(
+                l -> quarantines.values().exists(q -> q.covers(l.parts().toJavaSet())));
+        for (String part : unexplained.flatMap(PromptLoss::parts).distinct()) {
+            Option<Quarantine> verdict = CrashRule.verdict(part, unexplained, answered, nowMs);
             next = verdict.isDefined() ? next.withQuarantine(verdict.get()) : next;
         }
         return next;
     }
 
+    /** Records that a server is up: losses there before the dispatch of the attempt that it answered were no crashes. */
+    QuarantineState withServerAnswer(BackendId server, long dispatchedMs) {
+        if (!isLossBefore(server, dispatchedMs)) {
+            return this;
+        }
+        Map<BackendId, Long> next = servers.put(server, dispatchedMs, Math::max);
+        QuarantineState known = new QuarantineState(losses, answered, next, quarantines, peers, ticking);
+        return known.withLosses(losses.filter(known::isOpen));
+    }
+
     /** Adds or replaces a quarantine, unless one of fewer parts covers it already. */
     QuarantineState withQuarantine(Quarantine quarantine) {
         TreeSet<String> parts = quarantine.parts();
@@ -164,7 +195,8 @@
     /** Records an answer: losses of attempts before it are not due to the part, and it leaves its quarantines. */
     QuarantineState withAnswer(String part, long atMs) {
         boolean suspect = isSuspect(part);
-        QuarantineState next = new QuarantineState(losses, answered.with(part, atMs), quarantines, peers, ticking);
+        QuarantineState next =
+                new QuarantineState(losses, answered.with(part, atMs), servers, quarantines, peers, ticking);
         if (!suspect) {
             return next;
         }
@@ -181,15 +213,17 @@
     }
 
     QuarantineState withPeers(Peers next) {
-        return new QuarantineState(losses, answered, quarantines, next, ticking);
+        return new QuarantineState(losses, answered, servers, quarantines, next, ticking);
     }
 
     QuarantineState withTicking(boolean next) {
-        return new QuarantineState(losses, answered, quarantines, peers, next);
+        return new QuarantineState(losses, answered, servers, quarantines, peers, next);
     }
 
     QuarantineState withoutExpired(long nowMs) {
-        return withLosses(losses.filter(l -> l.lostMs() > nowMs - LOSS_RETENTION_MS))
+        Map<BackendId, Long> recent = servers.filterValues(ms -> ms > nowMs - LOSS_RETENTION_MS);
+        return new QuarantineState(losses, answered, recent, quarantines, peers, ticking)
+                .withLosses(losses.filter(l -> l.lostMs() > nowMs - LOSS_RETENTION_MS))
                 .withQuarantines(quarantines.filterValues(q -> q.untilMs() > nowMs - QUARANTINE_RETENTION_MS));
     }
 
@@ -199,14 +233,15 @@
 
     /** Returns whether a loss may be due to one of its parts. */
     private boolean isOpen(PromptLoss loss) {
-        return loss.parts().exists(p -> CrashRule.isCounted(loss, p, answered));
+        boolean serverUp = servers.get(loss.server()).exists(ms -> ms > loss.lostMs());
+        return !serverUp && loss.parts().exists(p -> CrashRule.isCounted(loss, p, answered));
     }
 
     private QuarantineState withLosses(Vector<PromptLoss> next) {
-        return new QuarantineState(next, answered, quarantines, peers, ticking);
+        return new QuarantineState(next, answered, servers, quarantines, peers, ticking);
     }
 
     private QuarantineState withQuarantines(Map<TreeSet<String>, Quarantine> next) {
-        return new QuarantineState(losses, answered, next, peers, ticking);
+        return new QuarantineState(losses, answered, servers, next, peers, ticking);
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/request/AttemptEventHandler.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/AttemptEventHandler.java
@@ -38,6 +38,7 @@
         event.report().ifPresent(r -> AttemptAccounting.applyReport(reduction, attempt.backend(), r));
         AttemptAccounting.recordPromptRead(reduction, request);
         AttemptAccounting.clearSuspicion(reduction, attempt.backend());
+        PromptChecks.recordServerAnswer(reduction, attempt);
         if (request.stage() == RequestStage.STREAMING) {
             return;
         }
@@ -80,6 +81,7 @@
         ActiveRequest completed =
                 begun.withAttempt(RequestStage.STREAMING, withFinalProgress(reduction, request, event));
         AttemptAccounting.recordSuccess(reduction, completed);
+        PromptChecks.recordServerAnswer(reduction, attempt);
         if (event.status() < MIN_ERROR_STATUS) {
             PromptChecks.recordAnswer(reduction, completed);
         }
--- a/core/src/main/java/org/fuchsiadeck/core/request/PromptChecks.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/PromptChecks.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import org.fuchsiadeck.core.model.BackendId;
 import org.fuchsiadeck.core.quarantine.PromptLoss;
 import org.fuchsiadeck.core.quarantine.Quarantine;
 import org.fuchsiadeck.core.quarantine.QuarantineEvent;
@@ -48,13 +49,18 @@
         lossOf(reduction, request, failure).ifPresent(loss -> reduction.raise(new QuarantineEvent.Lost(loss)));
     }
 
-    /** Returns whether a request may not be retried, because the loss of its attempt confirms a suspicion. */
-    static boolean rejectsRetry(RequestReduction reduction, ActiveRequest request, Failure failure) {
-        QuarantineState known = reduction.view().quarantine();
-        QuarantineState next = lossOf(reduction, request, failure)
-                .map(loss -> known.withLoss(loss, reduction.nowMs()))
-                .orElse(known);
-        return next.check(reduction.view(), request.parts()).verdict() == Verdict.REJECTED;
+    /** Returns whether a request may not be retried, because its prompt is in quarantine. */
+    static boolean rejectsRetry(RequestReduction reduction, ActiveRequest request) {
+        QuarantineState quarantine = reduction.view().quarantine();
+        return quarantine.check(reduction.view(), request.parts()).verdict() == Verdict.REJECTED;
+    }
+
+    /** Reports that a server answered an attempt, if that ends a suspicion. */
+    static void recordServerAnswer(RequestReduction reduction, Attempt attempt) {
+        BackendId server = attempt.backend().id();
+        if (reduction.view().quarantine().isLossBefore(server, attempt.dispatchedMs())) {
+            reduction.raise(new QuarantineEvent.ServerAnswered(server, attempt.dispatchedMs()));
+        }
     }
 
     static EndReason endReason() {
--- a/core/src/main/java/org/fuchsiadeck/core/request/Retries.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Retries.java
@@ -35,7 +35,7 @@
             RequestFinisher.abandon(reduction, next);
             return;
         }
-        if (PromptChecks.rejectsRetry(reduction, request, failure)) {
+        if (PromptChecks.rejectsRetry(reduction, request)) {
             RequestFinisher.fail(reduction, next, PromptChecks.endReason());
             return;
         }
--- a/core/src/test/java/org/fuchsiadeck/core/quarantine/CrashingFleet.java
+++ b/core/src/test/java/org/fuchsiadeck/core/quarantine/CrashingFleet.java
@@ -60,6 +60,10 @@
     final Map<EventCode, Integer> logLines = new TreeMap<>();
     final Set<String> isolated = new HashSet<>();
     String crashPart = "";
+
+    /** Engines close the connections of requests with this part at once, and go on with the others. */
+    String refusedPart = "";
+
     long nowMs = 1_000;
 
     private static final Route ROUTE = new Route(
@@ -219,6 +223,11 @@
         String id = dispatch.id().value();
         arrivals.add(new Arrival(nowMs, id, dispatch.attempt(), crashes(id)));
         post(node, 1, new RequestEvent.Writing(dispatch.id(), dispatch.attempt()));
+        if (calls.get(id).completion().get().parts().contains(refusedPart)) {
+            engines.get(dispatch.backend().id()).remove(work);
+            later(10, () -> fail(work, Failure.Step.AWAITING, Failure.Kind.CLOSED));
+            return;
+        }
         later(50 + random.nextInt(READING_MS), () -> beginAnswer(work));
     }
 
--- a/core/src/test/java/org/fuchsiadeck/core/quarantine/PromptCrashTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/quarantine/PromptCrashTest.java
@@ -142,6 +142,23 @@
                 .doesNotContainKey(EventCode.PROMPT_PART_QUARANTINED);
     }
 
+    /** An engine with too many connections resets further ones; a rare part can meet that several times in a row. */
+    @Test
+    void enginesThatCloseConnectionsButAnswerOthersPutNoPartInQuarantine() {
+        CrashingFleet fleet = new CrashingFleet(1, 7, 6);
+        fleet.refusedPart = "rare";
+        for (int i = 0; i < 1_000; i++) {
+            if (i % 20 == 0) {
+                fleet.send(fleet.randomNode(), "rare");
+            }
+            fleet.send(fleet.randomNode(), "a" + (int) (40 * fleet.random()));
+            fleet.runFor(10);
+        }
+        assertThat(fleet.logLines)
+                .containsKey(EventCode.ATTEMPT_LOST)
+                .doesNotContainKey(EventCode.PROMPT_PART_QUARANTINED);
+    }
+
     @Test
     void aNewNodeKnowsTheQuarantines() {
         CrashingFleet fleet = quarantined(1);
--- a/node/src/main/java/org/fuchsiadeck/node/peer/QuarantineCodecs.java
+++ b/node/src/main/java/org/fuchsiadeck/node/peer/QuarantineCodecs.java
@@ -8,6 +8,7 @@
 import org.fuchsiadeck.core.model.RequestId;
 import org.fuchsiadeck.core.quarantine.QuarantineNews;
 import org.fuchsiadeck.node.peer.generated.AnsweredPartProto;
+import org.fuchsiadeck.node.peer.generated.LiveServerProto;
 import org.fuchsiadeck.node.peer.generated.PromptLossProto;
 import org.fuchsiadeck.node.peer.generated.PromptQuarantineProto;
 import org.fuchsiadeck.node.peer.generated.QuarantineNewsProto;
@@ -46,6 +47,10 @@
         m.answers()
                 .forEach(a -> p.addAnswers(
                         AnsweredPartProto.newBuilder().setPart(a.part()).setAgoMs(a.agoMs())));
+        m.servers()
+                .forEach(s -> p.addServers(LiveServerProto.newBuilder()
+                        .setServer(s.server().value())
+                        .setDispatchedAgoMs(s.dispatchedAgoMs())));
         return p.build();
     }
 
@@ -66,6 +71,9 @@
                         .toList(),
                 p.getAnswersList().stream()
                         .map(a -> new QuarantineNews.Answer(a.getPart(), a.getAgoMs()))
+                        .toList(),
+                p.getServersList().stream()
+                        .map(s -> new QuarantineNews.LiveServer(new BackendId(s.getServer()), s.getDispatchedAgoMs()))
                         .toList());
     }
 }
