Pass on an answered part only if that ends a suspicion

Cause: an answer from before a quarantine left the part under suspicion, and each node that heard of it passed it on if it was later than what it knew. Ages are turned into times at the receiver, so each hop made the answer later by its delay, and the message circulated without end, at every node at once. Change: an answer is passed on only if it ends the counting of a loss or changes a quarantine. Evidence: PromptCrashTest.answersFromBeforeAQuarantineDoNotCirculateWithoutEnd failed before and passes.

--- a/core/src/main/java/org/fuchsiadeck/core/quarantine/QuarantineReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/quarantine/QuarantineReducer.java
@@ -78,16 +78,21 @@
         static final Proofs NONE = new Proofs(List.of(), List.of());
     }
 
-    /** Applies the proofs, and passes on those that change something. */
+    /**
+     * Applies the proofs, and passes on those that end a suspicion. Later times alone are not passed on: each node reads a
+     * slightly later time from an age, so that they would circulate without end.
+     */
     private static Step<QuarantineState> onProofs(QuarantineState state, View view, Proofs proofs) {
         long now = view.nowMs();
         Proofs useful = new Proofs(new ArrayList<>(), new ArrayList<>());
         QuarantineState next = state;
         for (Answer answer : proofs.answers()) {
-            if (next.isSuspect(answer.part())) {
+            QuarantineState known = next.withAnswer(answer.part(), now - answer.agoMs());
+            boolean cleared = next.hasCountedLoss(answer.part()) && !known.hasCountedLoss(answer.part());
+            if (cleared || !known.quarantines().equals(next.quarantines())) {
                 useful.answers().add(answer);
             }
-            next = next.withAnswer(answer.part(), now - answer.agoMs());
+            next = known;
         }
         for (LiveServer server : proofs.servers()) {
             QuarantineState known = next.withServerAnswer(server.server(), now - server.dispatchedAgoMs());
--- a/core/src/main/java/org/fuchsiadeck/core/quarantine/QuarantineState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/quarantine/QuarantineState.java
@@ -126,8 +126,12 @@
      * @return whether the part is under suspicion
      */
     public boolean isSuspect(String part) {
-        return losses.exists(l -> l.parts().contains(part) && CrashRule.isCounted(l, part, answered))
-                || quarantines.keySet().exists(q -> q.contains(part));
+        return hasCountedLoss(part) || quarantines.keySet().exists(q -> q.contains(part));
+    }
+
+    /** Returns whether a recorded loss may be due to a part. */
+    boolean hasCountedLoss(String part) {
+        return losses.exists(l -> l.parts().contains(part) && CrashRule.isCounted(l, part, answered));
     }
 
     /**
--- a/core/src/test/java/org/fuchsiadeck/core/quarantine/CrashingFleet.java
+++ b/core/src/test/java/org/fuchsiadeck/core/quarantine/CrashingFleet.java
@@ -56,6 +56,7 @@
     final List<Arrival> arrivals = new ArrayList<>();
     final List<Long> crashes = new ArrayList<>();
     final List<RequestEffect.Respond> responses = new ArrayList<>();
+    final TreeMap<String, Integer> messages = new TreeMap<>();
     final Set<String> begunAtFirstAttempt = new HashSet<>();
     final Map<EventCode, Integer> logLines = new TreeMap<>();
     final Set<String> isolated = new HashSet<>();
@@ -210,6 +211,7 @@
         if (id == null || isolated.contains(from) != isolated.contains(id)) {
             return;
         }
+        messages.merge(message.getClass().getSimpleName(), 1, Integer::sum);
         post(id, 1 + random.nextInt(3), new PeerReceived(new NodeId(from), message));
     }
 
--- a/core/src/test/java/org/fuchsiadeck/core/quarantine/PromptCrashTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/quarantine/PromptCrashTest.java
@@ -231,6 +231,20 @@
         crashUntilQuarantined(fleet);
     }
 
+    /** Each node sends all that it knows to two others a second, for as long as there is a quarantine. */
+    @Test
+    void answersFromBeforeAQuarantineDoNotCirculateWithoutEnd() {
+        CrashingFleet fleet = new CrashingFleet(1, 9, 9);
+        for (int i = 0; i < 20; i++) {
+            fleet.send("n" + i % 9, CRASHING);
+            fleet.runFor(50);
+        }
+        crashUntilQuarantined(fleet);
+        fleet.messages.clear();
+        fleet.runFor(5_000);
+        assertThat(fleet.messages.get("QuarantineNews")).isLessThanOrEqualTo(5 * 9 * 2 + 9 * 8);
+    }
+
     private static CrashingFleet quarantined(long seed) {
         CrashingFleet fleet = new CrashingFleet(seed, 9, 9);
         crashUntilQuarantined(fleet);
