--- a/review/1/Case1.java
+++ b/review/1/Case1.java
@@ -77,7 +77,8 @@
                         Stand.trouble() ? form.name() : fields.replace("\r\n", " "), inner);
                 String request = before + Stand.request("POST", "/post/outer", outer, fields, -1) + body;
                 stand.note("answers: %s", exchange(node, request));
-                Stand.sleep(100);
+                String expected = Stand.trouble() ? inner : outer;
+                Stand.await(form.wrapped() || Stand.trouble() ? 3_000 : 300, () -> ran.containsKey(expected));
                 String run = ran.get(outer);
                 if (form.wrapped() && run != null && !run.endsWith("body of " + text.length() + " bytes")) {
                     changed++;
--- a/review/stand/Stand.java
+++ b/review/stand/Stand.java
@@ -632,6 +632,12 @@
     /** Starts a case: its folder for settings and logs, and a watchdog that ends it before the time of a script is over. */
     static Stand begin(Path recordFile) throws IOException {
         Stand stand = new Stand(Files.createTempDirectory("review"));
+        Thread.setDefaultUncaughtExceptionHandler((t, e) -> {
+            e.printStackTrace();
+            if (t.getName().equals("main")) {
+                System.exit(2);
+            }
+        });
         THREADS.execute(() -> {
             sleep(110_000);
             try {
@@ -665,10 +671,20 @@
         return all;
     }
 
+    private void deleteFolder() throws IOException {
+        try (java.util.stream.Stream<Path> files = Files.list(folder)) {
+            for (Path file : files.toList()) {
+                Files.delete(file);
+            }
+        }
+        Files.delete(folder);
+    }
+
     /** Writes the record and ends the process. */
     void finish(Path file, int code, String verdict) throws IOException {
         note("RESULT %d %s", code, verdict);
         close();
+        deleteFolder();
         synchronized (record) {
             Files.write(file, record);
         }
