Review: workers that refuse what is no request line, and the counts again

A sound worker does not run a request whose first line is broken, so the cases 1 and 2 count only what a sound one runs.

--- a/review/1/Case1.java
+++ b/review/1/Case1.java
@@ -22,21 +22,30 @@
      * @param name for the record
      * @param before bytes before the outer request
      * @param fields the framing of the outer request; $N stands for the number of its body's bytes
-     * @param wrapped whether the hidden request lies in a chunk, so that the body is a whole one in chunks; otherwise it
-     *     lies behind the last chunk, and inside the body by the other length that is given
+     * @param hidden where the hidden request lies
      * @param plainFields the framing without the disruption
      */
-    private record Form(String name, String before, String fields, boolean wrapped, String plainFields) {}
+    private record Form(String name, String before, String fields, Hidden hidden, String plainFields) {}
+
+    /** Where a hidden request lies. */
+    private enum Hidden {
+        /** In a chunk of a whole body in chunks. */
+        IN_CHUNK,
+        /** Behind the last chunk, and inside the body by the other length that is given. */
+        BEHIND_LAST_CHUNK,
+        /** It is the body; without the disruption it is sent in a chunk. */
+        WHOLE_BODY
+    }
 
     private static final String TWO = "Content-Length: $N\r\nTransfer-Encoding: chunked\r\n";
     private static final String CHUNKED = "Transfer-Encoding: chunked\r\n";
     private static final String FIRST = Stand.request("GET", "/read/first", "first-$I", "", -1);
     private static final List<Form> FORMS = List.of(
-            new Form("two lengths, behind an empty line", "\r\n", TWO, false, TWO),
-            new Form("two lengths, in the packet of the request before", FIRST, TWO, false, TWO),
-            new Form("coding gzip, chunked", "", "Transfer-Encoding: gzip, chunked\r\n", true, CHUNKED),
-            new Form("coding identity, chunked", "", "Transfer-Encoding: identity, chunked\r\n", true, CHUNKED),
-            new Form("coding xchunked", "", "Transfer-Encoding: xchunked\r\n", true, CHUNKED));
+            new Form("two lengths, in the packet of the request before", FIRST, TWO, Hidden.BEHIND_LAST_CHUNK, TWO),
+            new Form("coding gzip, chunked", "", "Transfer-Encoding: gzip, chunked\r\n", Hidden.IN_CHUNK, CHUNKED),
+            new Form("coding identity, chunked", "", "Transfer-Encoding: identity, chunked\r\n", Hidden.IN_CHUNK, CHUNKED),
+            new Form("coding identity", "", "Transfer-Encoding: identity\r\n", Hidden.WHOLE_BODY, CHUNKED),
+            new Form("coding xchunked", "", "Transfer-Encoding: xchunked\r\n", Hidden.WHOLE_BODY, CHUNKED));
 
     public static void main(String... args) throws Exception {
         Stand stand = Stand.begin(RECORD);
@@ -55,7 +64,7 @@
                 ran.put(request, "\"" + m.start + "\" with a body of " + m.body.length + " bytes");
                 stand.note("worker %s ran %s: %s", id, request, ran.get(request));
                 Stand.answer(out, 200, "Request-Id: " + request + "\r\nResponse-Seal: s\r\n", "done".getBytes());
-            }, false);
+            });
             platform.put("servers/" + id, Stand.entry("app", worker.address(), false, 6, "ready", 1000), 0);
         }
         List<Stand.Node> nodes = stand.nodes(platform, 2, RECORD);
@@ -68,8 +77,10 @@
                 String outer = "outer-" + sent;
                 String inner = "inner-" + sent;
                 String text = Stand.request("POST", "/post/inner", inner, "", 0);
-                String body = form.wrapped() ? Integer.toHexString(text.length()) + "\r\n" + text + "\r\n0\r\n\r\n"
-                        : "0\r\n\r\n" + text;
+                String body = form.hidden() == Hidden.BEHIND_LAST_CHUNK ? "0\r\n\r\n" + text
+                        : form.hidden() == Hidden.WHOLE_BODY && Stand.trouble() ? text
+                        : Integer.toHexString(text.length()) + "\r\n" + text + "\r\n0\r\n\r\n";
+                boolean plain = form.hidden() != Hidden.BEHIND_LAST_CHUNK;
                 String fields = (Stand.trouble() ? form.fields() : form.plainFields())
                         .replace("$N", String.valueOf(body.length()));
                 String before = Stand.trouble() ? form.before().replace("$I", String.valueOf(sent)) : "";
@@ -78,9 +89,9 @@
                 String request = before + Stand.request("POST", "/post/outer", outer, fields, -1) + body;
                 stand.note("answers: %s", exchange(node, request));
                 String expected = Stand.trouble() ? inner : outer;
-                Stand.await(form.wrapped() || Stand.trouble() ? 3_000 : 300, () -> ran.containsKey(expected));
+                Stand.await(!Stand.trouble() && plain ? 3_000 : 500, () -> ran.containsKey(expected));
                 String run = ran.get(outer);
-                if (form.wrapped() && run != null && !run.endsWith("body of " + text.length() + " bytes")) {
+                if (plain && run != null && !run.endsWith("body of " + text.length() + " bytes")) {
                     changed++;
                     stand.note("UNASKED: %s ran as %s, its body was %d bytes", outer, run, text.length());
                 }
@@ -88,7 +99,7 @@
                     smuggled++;
                     stand.note("UNASKED: %s, part of the body of %s, ran as %s", inner, outer, ran.get(inner));
                 }
-                if (!Stand.trouble() && form.wrapped() && run == null) {
+                if (!Stand.trouble() && plain && run == null) {
                     stand.finish(RECORD, 2, "a plain request was not served");
                 }
             }
--- a/review/stand/Stand.java
+++ b/review/stand/Stand.java
@@ -194,17 +194,17 @@
         void handle(Message m, Socket socket, InputStream in, OutputStream out) throws Exception;
     }
 
+    /** What a server takes for a request; it refuses others, as a sound one does. */
+    private static final String REQUEST_LINE = "(GET|POST|DELETE) \\S+ HTTP/1\\.1";
+
     /** A server that reads requests one after the other from each connection. */
     final class Server implements AutoCloseable {
         final ServerSocket socket;
         final Handler handler;
-        final boolean headOnly;
         final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
-        volatile boolean silent;
 
-        Server(Handler handler, boolean headOnly) throws IOException {
+        Server(Handler handler) throws IOException {
             this.handler = handler;
-            this.headOnly = headOnly;
             this.socket = new ServerSocket(0, 500, LOOPBACK);
             open.push(this);
             THREADS.execute(this::accept);
@@ -235,11 +235,14 @@
                     if (m == null) {
                         return;
                     }
-                    if (!headOnly) {
-                        body(in, m, false);
-                        if (!m.whole) {
-                            return;
-                        }
+                    if (!m.start.matches(REQUEST_LINE)) {
+                        note("%s refuses \"%s\"", address(), m.start);
+                        answer(s.getOutputStream(), 400, "Not-Executed: 1\r\nConnection: close\r\n", new byte[0]);
+                        return;
+                    }
+                    body(in, m, false);
+                    if (!m.whole) {
+                        return;
                     }
                     handler.handle(m, s, in, s.getOutputStream());
                 }
@@ -293,7 +296,7 @@
             volatile java.util.function.BiFunction<String, Message, Boolean> after = (call, m) -> true;
 
             Port() throws IOException {
-                server = new Server(this::handle, false);
+                server = new Server(this::handle);
             }
 
             private void handle(Message m, Socket s, InputStream in, OutputStream out) throws Exception {
