Decide where a caller's request ends in one place

Cause: the codec and a check beside it read the same bytes and differed. The check saw a head only if it came first on an idle connection, ended at the first empty line, and ignored the value of Transfer-Encoding; the codec takes one of two lengths and reads an unknown coding as no body.

Change: MessageReader splits the bytes of a connection by the grammar of RFC 9112 for senders and rewrites each message with its framing stated once. RequestGate passes one request at a time to the codec, each part in a context of its own; what follows waits as bytes, at most 32 KiB. All else is answered 400 and the connection closed. FramingCheck is gone.

Why it works: nothing behind the reader gets bytes that can be read in two ways, or bytes of two requests at once.

--- a/node/src/main/java/org/fuchsiadeck/node/front/BodyReader.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/BodyReader.java
@@ -21,6 +21,7 @@
     private static final long RETRY_AFTER_MS = 1_000;
 
     private final NIOInputStream in;
+    private final Runnable demand;
     private final Executor afterRead;
     private final long maxBytes;
     private final IntPredicate room;
@@ -32,8 +33,8 @@
      * Creates a reader.
      *
      * @param in the body
-     * @param afterRead runs an action once what was read from the connection is handled, and lets the connection be read
-     *     on
+     * @param demand asks for the next part of the body to be passed on
+     * @param afterRead runs an action once what was read from the connection is handled
      * @param maxBytes the longest body, in bytes
      * @param room counts bytes before they are kept
      * @param whole takes the whole body
@@ -41,12 +42,14 @@
      */
     BodyReader(
             NIOInputStream in,
+            Runnable demand,
             Executor afterRead,
             long maxBytes,
             IntPredicate room,
             Consumer<byte[]> whole,
             Consumer<Refusal> broken) {
         this.in = in;
+        this.demand = demand;
         this.afterRead = afterRead;
         this.maxBytes = maxBytes;
         this.room = room;
@@ -66,6 +69,9 @@
     /** Starts to read. */
     void start() {
         in.notifyAvailable(this);
+        if (!in.isFinished()) {
+            demand.run();
+        }
     }
 
     @Override
--- a/node/src/main/java/org/fuchsiadeck/node/front/CallerCodec.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerCodec.java
@@ -4,7 +4,10 @@
 
 import org.fuchsiadeck.core.model.RequestId;
 import org.fuchsiadeck.node.exchange.Refusal;
+import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.FilterChainEvent;
+import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpHeader;
 import org.glassfish.grizzly.http.HttpRequestPacket;
@@ -54,6 +57,27 @@
         super.onHttpHeaderError(header, ctx, error);
     }
 
+    /** The next request is passed on only once the codec has nothing left to do for this one and its answer is written. */
+    @Override
+    public NextAction handleEvent(FilterChainContext ctx, FilterChainEvent event) throws IOException {
+        NextAction action = super.handleEvent(ctx, event);
+        if (event.type() == RESPONSE_COMPLETE_EVENT.type()) {
+            CallerConnection connection = CallerConnection.of(ctx.getConnection());
+            ctx.flush(new EmptyCompletionHandler<>() {
+                @Override
+                public void completed(Object result) {
+                    connection.answered();
+                }
+
+                @Override
+                public void failed(Throwable error) {
+                    connection.answered();
+                }
+            });
+        }
+        return action;
+    }
+
     @Override
     protected HttpContent customizeErrorResponse(HttpResponsePacket response) {
         RequestId id = ids.next();
--- a/node/src/main/java/org/fuchsiadeck/node/front/CallerConnection.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerConnection.java
@@ -1,22 +1,21 @@
 package org.fuchsiadeck.node.front;
 
 import java.io.IOException;
-import java.util.ArrayDeque;
-import java.util.Queue;
+import java.nio.channels.SocketChannel;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
+import org.fuchsiadeck.node.exchange.Refusal;
+import org.fuchsiadeck.node.http.RequestGate;
 import org.fuchsiadeck.node.run.SelectorTasks;
-import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
-import org.glassfish.grizzly.IOEvent;
 import org.glassfish.grizzly.attributes.Attribute;
-import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.nio.NIOConnection;
 
 /**
  * What the front keeps of a caller's connection. While a request waits for its answer, the connection is read all the
- * same, so that a caller who leaves is noticed; what a caller sends ahead is held until the answer is written.
+ * same, so that a caller who leaves is noticed; what a caller sends ahead waits in the {@link RequestGate}.
  */
 final class CallerConnection {
     private static final Attribute<CallerConnection> ATTRIBUTE =
@@ -25,16 +24,22 @@
     /** The least rate at which a caller has to send or take, in bytes per millisecond. */
     static final int SLOWEST_BYTES_PER_MS = 32;
 
+    /** Time in which a caller can read a last answer before the connection is closed, in milliseconds. */
+    private static final long CLOSING_MS = 2_000;
+
+    private static final int REQUEST_TIMEOUT = 408;
+    private static final Refusal SLOW =
+            Refusal.notRun(REQUEST_TIMEOUT, "slow_sender", "The request did not come in time.");
+
     /** What the connection waits for. */
     private enum Phase {
         IDLE,
         READING,
-        ANSWERING
+        ANSWERING,
+        CLOSING
     }
 
     private final Connection<?> connection;
-    private final Queue<FilterChainContext> ahead = new ArrayDeque<>();
-    private final FramingCheck framing = new FramingCheck();
     private Phase phase = Phase.IDLE;
     private long sinceNanos = System.nanoTime();
     private long receivedBytes;
@@ -43,7 +48,7 @@
     private long pendingNanos;
     private CallerResponse response;
     private Runnable onGone = () -> {};
-    private Runnable onSlow;
+    private Consumer<Refusal> onUnfinished;
 
     private CallerConnection(Connection<?> connection) {
         this.connection = connection;
@@ -58,28 +63,31 @@
         return found;
     }
 
-    /** Notes that bytes came. Returns whether they are held back. */
-    synchronized boolean holdBack(FilterChainContext ctx) {
-        if (phase == Phase.ANSWERING || !ahead.isEmpty() && ahead.peek() != ctx) {
-            ahead.add(ctx);
-            return true;
-        }
-        ahead.poll();
+    /** Notes that bytes came. Those that come while a request waits for its answer are of later requests. */
+    synchronized void received(int bytes) {
         if (phase == Phase.IDLE) {
-            phase = Phase.READING;
-            sinceNanos = System.nanoTime();
-            receivedBytes = 0;
-            framing.begin();
+            startReading();
+        }
+        if (phase == Phase.READING) {
+            receivedBytes += bytes;
         }
-        framing.read((Buffer) ctx.getMessage());
-        receivedBytes += ((Buffer) ctx.getMessage()).remaining();
-        return false;
     }
 
-    /** Notes that the head of a request was read. */
-    synchronized void begin(CallerResponse started, Runnable slow) {
+    private void startReading() {
+        phase = Phase.READING;
+        sinceNanos = System.nanoTime();
+        receivedBytes = 0;
+    }
+
+    /**
+     * Notes that the head of a request was read.
+     *
+     * @param started the way back to the caller
+     * @param unfinished refuses the request if its body does not come, or is malformed
+     */
+    synchronized void begin(CallerResponse started, Consumer<Refusal> unfinished) {
         response = started;
-        onSlow = slow;
+        onUnfinished = unfinished;
         phase = Phase.READING;
     }
 
@@ -87,11 +95,11 @@
      * Notes that the request is whole. Returns false if it was given up before, so that it must not run.
      */
     synchronized boolean isWhole() {
-        if (closed || onSlow == null) {
+        if (closed || onUnfinished == null) {
             return false;
         }
         phase = Phase.ANSWERING;
-        onSlow = null;
+        onUnfinished = null;
         return true;
     }
 
@@ -104,35 +112,32 @@
         }
         if (late) {
             gone.run();
-            return;
         }
-        enableReading();
     }
 
     /**
-     * Expects more of a request's body. Grizzly stops reading from a connection whose request is suspended once it has
-     * handed a part of the body out.
+     * Expects more of a request's body.
      *
      * @param expect asks for the next part; runs once what was read so far is handled
      */
     void readOn(Runnable expect) {
-        SelectorTasks.runAfterReads(connection, () -> {
-            expect.run();
-            enableReading();
-        });
+        SelectorTasks.runAfterReads(connection, expect);
     }
 
-    private void enableReading() {
-        try {
-            connection.enableIOEvent(IOEvent.READ);
-        } catch (IOException e) {
-            connection.terminateSilently();
+    /** Refuses the request whose body is being read, unless it has an answer. Returns false if there is no request. */
+    boolean refuseUnfinished(Refusal refusal) {
+        Consumer<Refusal> refuse;
+        synchronized (this) {
+            if (response == null) {
+                return false;
+            }
+            refuse = onUnfinished;
+            onUnfinished = null;
         }
-    }
-
-    /** Tells whether the head of the request in progress gives the length of its body more than once. */
-    synchronized boolean isLengthAmbiguous() {
-        return framing.isAmbiguous();
+        if (refuse != null) {
+            refuse.accept(refusal);
+        }
+        return true;
     }
 
     /** Notes that the answer was written. */
@@ -140,6 +145,22 @@
         SelectorTasks.runAfterReads(connection, this::next);
     }
 
+    /**
+     * Ends the answers on the connection. It is closed by the caller, or after a while; a close with bytes unread would
+     * take the last answer away from the caller.
+     */
+    void closeOutput() {
+        synchronized (this) {
+            phase = Phase.CLOSING;
+            sinceNanos = System.nanoTime();
+        }
+        try {
+            ((SocketChannel) ((NIOConnection) connection).getChannel()).shutdownOutput();
+        } catch (IOException e) {
+            connection.closeWithReason(e);
+        }
+    }
+
     private void next() {
         synchronized (this) {
             if (response != null) {
@@ -147,17 +168,14 @@
             }
             response = null;
             onGone = () -> {};
-            onSlow = null;
+            onUnfinished = null;
             phase = Phase.IDLE;
             sinceNanos = System.nanoTime();
+            if (RequestGate.holdsBytes(connection)) {
+                startReading();
+            }
         }
-        for (FilterChainContext held = firstHeld(); held != null; held = firstHeld()) {
-            held.resume();
-        }
-    }
-
-    private synchronized FilterChainContext firstHeld() {
-        return phase == Phase.ANSWERING ? null : ahead.peek();
+        RequestGate.answered(connection);
     }
 
     /** Notes that the connection has closed. */
@@ -170,7 +188,6 @@
             gone = onGone;
             response = null;
             onGone = () -> {};
-            ahead.clear();
         }
         if (open == null) {
             return;
@@ -189,17 +206,16 @@
 
     /** Gives up a caller that sends or takes nothing for too long. */
     void sweep(long slowMs, long idleMs) {
-        Runnable slow;
+        boolean refuse;
         boolean close;
         synchronized (this) {
             long waitedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sinceNanos);
             boolean stalled = isStalled(waitedMs, slowMs, idleMs);
-            slow = stalled && phase == Phase.READING ? onSlow : null;
-            onSlow = slow == null ? onSlow : null;
-            close = stalled && slow == null;
+            refuse = stalled && phase == Phase.READING && onUnfinished != null;
+            close = stalled && !refuse;
         }
-        if (slow != null) {
-            slow.run();
+        if (refuse) {
+            refuseUnfinished(SLOW);
         }
         if (close) {
             connection.terminateSilently();
@@ -227,6 +243,7 @@
         return switch (phase) {
             case IDLE -> waitedMs > idleMs;
             case READING -> waitedMs > slowMs + receivedBytes / SLOWEST_BYTES_PER_MS;
+            case CLOSING -> waitedMs > CLOSING_MS;
             case ANSWERING -> response != null && response.isStalled(slowMs);
         };
     }
--- a/node/src/main/java/org/fuchsiadeck/node/front/CallerHandler.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerHandler.java
@@ -16,9 +16,9 @@
 import org.fuchsiadeck.node.exchange.Exchanges;
 import org.fuchsiadeck.node.exchange.Refusal;
 import org.fuchsiadeck.node.exchange.Room;
+import org.fuchsiadeck.node.http.RequestGate;
 import org.fuchsiadeck.node.run.EventSink;
-import org.glassfish.grizzly.EmptyCompletionHandler;
-import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.RequestExecutorProvider;
@@ -28,8 +28,6 @@
  * Takes callers' requests: reads and checks them, and hands them to the decisions.
  */
 final class CallerHandler extends HttpHandler {
-    private static final int BAD_REQUEST = 400;
-    private static final int REQUEST_TIMEOUT = 408;
     private static final int UNAVAILABLE = 503;
     private static final long RETRY_AFTER_MS = 1_000;
 
@@ -87,16 +85,11 @@
         CallerConnection connection = CallerConnection.of(request.getContext().getConnection());
         CallerResponse answer = new CallerResponse(
                 response, request.getContext().getConnection(), id, pump, draining, protocol, room.budget());
-        connection.begin(answer, () -> refuse(answer, slow(), true));
-        request.addAfterServiceListener(r -> whenFlushed(r, connection::answered));
+        connection.begin(answer, refusal -> refuse(answer, refusal, true));
         if (bad != null) {
             refuse(answer, bad.refusal(), true);
             return;
         }
-        if (connection.isLengthAmbiguous()) {
-            refuse(answer, Refusal.notRun(BAD_REQUEST, "bad_framing", "The length of the body is given twice."), true);
-            return;
-        }
         if (room.budget().isTight()) {
             refuse(answer, BodyReader.nodeFull(), true);
             return;
@@ -115,20 +108,6 @@
         }
     }
 
-    private static void whenFlushed(Request request, Runnable action) {
-        request.getContext().notifyDownstream(TransportFilter.createFlushEvent(new EmptyCompletionHandler<>() {
-            @Override
-            public void completed(Object result) {
-                action.run();
-            }
-
-            @Override
-            public void failed(Throwable error) {
-                action.run();
-            }
-        }));
-    }
-
     private record Call(RequestId id, CallerResponse answer, CallerConnection connection) {}
 
     private void read(Request request, Call call) throws BadCallException {
@@ -139,8 +118,10 @@
             refuse(call.answer(), BodyReader.tooLarge(limit), true);
             return;
         }
+        Connection<?> connection = request.getContext().getConnection();
         BodyReader reader = new BodyReader(
                 request.getNIOInputStream(),
+                () -> RequestGate.readBody(connection),
                 call.connection()::readOn,
                 limit,
                 call.answer()::takeBody,
@@ -197,8 +178,4 @@
                 ? busy("request_id_in_use", "A request with this id is in progress.")
                 : busy("too_many_streams", "The node has as many streams in progress as it may.");
     }
-
-    private static Refusal slow() {
-        return Refusal.notRun(REQUEST_TIMEOUT, "slow_sender", "The request did not come in time.");
-    }
 }
--- a/node/src/main/java/org/fuchsiadeck/node/front/CallerServer.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerServer.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 
+import org.fuchsiadeck.node.http.RequestGate;
 import org.glassfish.grizzly.filterchain.FilterChainBuilder;
 import org.glassfish.grizzly.http.HttpServerFilter;
 import org.glassfish.grizzly.http.server.HttpServer;
@@ -48,7 +49,9 @@
         RefusalLog refusals = new RefusalLog(front.log(), front.metrics());
         CallerCodec codec = new CallerCodec(
                 front.limits().maxHeaderBytes(), listener.getKeepAlive(), front.protocol(), ids, refusals);
-        listener.registerAddOn((l, builder) -> arrange(builder, guard, codec));
+        RequestGate gate = new RequestGate(
+                front.limits().maxHeaderBytes(), new MalformedRequests(front.protocol(), ids, refusals));
+        listener.registerAddOn((l, builder) -> arrange(builder, guard, gate, codec));
         HttpServer server = new HttpServer();
         server.addListener(listener);
         server.getServerConfiguration().setMaxPostSize(UNLIMITED);
@@ -80,9 +83,11 @@
         return listener;
     }
 
-    private static void arrange(FilterChainBuilder builder, ConnectionGuard guard, CallerCodec codec) {
+    private static void arrange(
+            FilterChainBuilder builder, ConnectionGuard guard, RequestGate gate, CallerCodec codec) {
         int index = builder.indexOfType(HttpServerFilter.class);
         builder.set(index, codec);
+        builder.add(index, gate);
         builder.add(index, guard);
     }
 
--- a/node/src/main/java/org/fuchsiadeck/node/front/ConnectionGuard.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/ConnectionGuard.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 import org.fuchsiadeck.node.exchange.ByteBudget;
+import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
@@ -52,11 +53,9 @@
     }
 
     @Override
-    public NextAction handleRead(FilterChainContext ctx) throws IOException {
-        if (CallerConnection.of(ctx.getConnection()).holdBack(ctx)) {
-            ctx.suspend();
-            return ctx.getSuspendAction();
-        }
+    public NextAction handleRead(FilterChainContext ctx) {
+        Buffer received = ctx.getMessage();
+        CallerConnection.of(ctx.getConnection()).received(received.remaining());
         return ctx.getInvokeAction();
     }
 
