Take an answer with two possible ends as malformed

Cause: the same as of hidden requests, on the client's side. The codec settles for one of two lengths, and takes an unknown coding for a body that ends with the connection. The platform's service is read by the same client.

Change: ResponseGate splits received bytes with the grammar of MessageReader before they reach the codec. Bytes that come while no request is in progress close the connection before anything parses them. Pausing stops reading the connection instead of suspending a context. Chunk extensions and trailers are dropped instead of failing the answer.

--- a/node/src/main/java/org/fuchsiadeck/node/client/HttpClient.java
+++ b/node/src/main/java/org/fuchsiadeck/node/client/HttpClient.java
@@ -51,6 +51,7 @@
                 .build();
         FilterChain chain = FilterChainBuilder.stateless()
                 .add(new SocketReadFilter())
+                .add(new ResponseGate(MAX_HEAD_BYTES))
                 .add(new ResponseCodec(MAX_HEAD_BYTES))
                 .add(new ResponseFilter())
                 .build();
--- a/node/src/main/java/org/fuchsiadeck/node/client/HttpConnection.java
+++ b/node/src/main/java/org/fuchsiadeck/node/client/HttpConnection.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -12,10 +13,9 @@
 import org.glassfish.grizzly.Grizzly;
 import org.glassfish.grizzly.WriteResult;
 import org.glassfish.grizzly.attributes.Attribute;
-import org.glassfish.grizzly.filterchain.FilterChainContext;
-import org.glassfish.grizzly.filterchain.NextAction;
 import org.glassfish.grizzly.http.HttpContent;
 import org.glassfish.grizzly.http.HttpPacket;
+import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
 
 import static java.util.Objects.requireNonNull;
@@ -46,8 +46,9 @@
     private long idleLimitMs = Long.MAX_VALUE;
     private Consumer<String> onUnexpectedData = detail -> {};
     private Runnable onClosed = () -> {};
-    private boolean paused;
-    private FilterChainContext suspendedContext;
+    private volatile boolean paused;
+    private volatile boolean headInProgress;
+    private ResponseGate.Feed feed;
 
     private HttpConnection(Connection<Object> connection, Address peer) {
         this.connection = connection;
@@ -122,6 +123,7 @@
         synchronized (this) {
             listener = requireNonNull(responseListener, "responseListener");
             head = null;
+            headInProgress = ((HttpRequestPacket) request.getHttpHeader()).isHeadRequest();
         }
         if (!connection.isOpen()) {
             handleClose(true);
@@ -139,25 +141,43 @@
     /** Closes the connection. A response in progress is reported as lost. */
     public void close() {
         connection.terminateSilently();
-        resumeReading();
     }
 
     /** Pauses reading once the data being processed has been handled. */
-    public synchronized void pauseReading() {
+    public void pauseReading() {
         paused = true;
     }
 
     /** Resumes reading. */
     public void resumeReading() {
-        FilterChainContext context;
-        synchronized (this) {
+        if (paused) {
             paused = false;
-            context = suspendedContext;
-            suspendedContext = null;
+            runAfterReads(() -> {
+                if (feed != null) {
+                    feed.passOn();
+                }
+            });
         }
-        if (context != null) {
-            context.resume(context.getStopAction());
+    }
+
+    boolean isPaused() {
+        return paused;
+    }
+
+    boolean isHeadInProgress() {
+        return headInProgress;
+    }
+
+    boolean isAwaitingResponse() {
+        return currentListener() != null;
+    }
+
+    /** Returns the responses of the connection. Called on its selector thread only. */
+    ResponseGate.Feed feed(Supplier<ResponseGate.Feed> creator) {
+        if (feed == null) {
+            feed = creator.get();
         }
+        return feed;
     }
 
     /**
@@ -192,8 +212,7 @@
         HttpResponsePacket packet = (HttpResponsePacket) content.getHttpHeader();
         ResponseListener current = currentListener();
         if (current == null) {
-            onUnexpectedData.accept("bytes that answer no request");
-            close();
+            handleUnexpectedData();
             return;
         }
         if (head != packet) {
@@ -211,15 +230,9 @@
         }
     }
 
-    NextAction suspendIfPaused(FilterChainContext ctx) {
-        synchronized (this) {
-            if (paused && connection.isOpen()) {
-                ctx.suspend();
-                suspendedContext = ctx;
-                return ctx.getSuspendAction();
-            }
-        }
-        return ctx.getStopAction();
+    void handleUnexpectedData() {
+        onUnexpectedData.accept("bytes that answer no request");
+        close();
     }
 
     void handleParseError(String detail) {
--- a/node/src/main/java/org/fuchsiadeck/node/client/ResponseFilter.java
+++ b/node/src/main/java/org/fuchsiadeck/node/client/ResponseFilter.java
@@ -24,7 +24,7 @@
         }
         connection.handleContent(content);
         content.recycle();
-        return connection.suspendIfPaused(ctx);
+        return ctx.getStopAction();
     }
 
     @Override
--- a/node/src/test/java/org/fuchsiadeck/node/client/HttpConnectionTest.java
+++ b/node/src/test/java/org/fuchsiadeck/node/client/HttpConnectionTest.java
@@ -19,6 +19,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -87,6 +89,24 @@
         }
     }
 
+    /** A response that other readers end elsewhere was taken as complete. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Content-Length: 1\r\nContent-Length: 2",
+                "Content-Length: 2\r\nTransfer-Encoding: chunked",
+                "Transfer-Encoding: gzip, chunked",
+                "Transfer-Encoding: xchunked",
+                "Transfer-Encoding : chunked"
+            })
+    void reportsResponseWithAmbiguousLengthAsMalformed(String framing) throws Exception {
+        sendRequest();
+        try (Socket socket = server.accept()) {
+            respond(socket, "HTTP/1.1 200 OK\r\n" + framing + "\r\n\r\n2\r\nab\r\n0\r\n\r\n");
+            assertThat(nextEvent()).isEqualTo("broken");
+        }
+    }
+
     private BlockingQueue<HttpConnection> sendRequest() {
         BlockingQueue<HttpConnection> opened = new LinkedBlockingQueue<>();
         Address address = new Address(server.getInetAddress().getHostAddress(), server.getLocalPort());
