Run no operator's call that is hidden in another one

Operators saw: nothing. A call in the body of another one, behind a head that names an unknown transfer coding, ran at the operators' address; with the token in it also POST /drain.

Cause: the same as of hidden requests; the address had no check at all.

Change: the operators' server reads through RequestGate. Its filters run on the selector thread, its handlers on the two threads as before.

--- a/node/src/main/java/org/fuchsiadeck/node/operator/OperatorServer.java
+++ b/node/src/main/java/org/fuchsiadeck/node/operator/OperatorServer.java
@@ -3,8 +3,11 @@
 import java.io.IOException;
 
 import org.fuchsiadeck.core.model.Address;
+import org.fuchsiadeck.node.http.RequestGate;
+import org.glassfish.grizzly.http.HttpServerFilter;
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 
 /**
@@ -12,6 +15,7 @@
  */
 public final class OperatorServer implements AutoCloseable {
     private static final int MAX_REQUEST_BYTES = 1 << 10;
+    private static final int MAX_HEAD_BYTES = 8 << 10;
     private static final int THREADS = 2;
 
     private final HttpServer server;
@@ -32,11 +36,18 @@
     public static OperatorServer start(Address address, String token, Operations operations) throws IOException {
         NetworkListener listener = new NetworkListener("operators", address.host(), address.port());
         listener.getTransport().setSelectorRunnersCount(1);
+        listener.getTransport().setIOStrategy(SameThreadIOStrategy.getInstance());
         listener.getTransport()
                 .setWorkerThreadPoolConfig(ThreadPoolConfig.defaultConfig()
                         .setPoolName("operators")
                         .setCorePoolSize(THREADS)
                         .setMaxPoolSize(THREADS));
+        RequestGate gate = new RequestGate(MAX_HEAD_BYTES, OperatorCodec::reject);
+        listener.registerAddOn((l, builder) -> {
+            int index = builder.indexOfType(HttpServerFilter.class);
+            builder.set(index, new OperatorCodec(MAX_HEAD_BYTES, listener.getKeepAlive()));
+            builder.add(index, gate);
+        });
         HttpServer server = new HttpServer();
         server.addListener(listener);
         server.getServerConfiguration().setMaxPostSize(MAX_REQUEST_BYTES);
