Let the test of the operators' address wait for the list of servers

The test failed twice in cold runs beside other work: the dump named no server. A node is ready once the list has been read; the event with its servers is then in the queue, before any later request, but a dump is of the state as last reduced. The test waits until the server is shown, and checks the same as before; it fails if the server never is.

--- a/node/src/test/java/org/fuchsiadeck/node/operator/OperatorServerTest.java
+++ b/node/src/test/java/org/fuchsiadeck/node/operator/OperatorServerTest.java
@@ -17,6 +17,11 @@
         try (FakeServer backend = new FakeServer((m, s) -> {});
                 TestNode node = new TestNode(backend)) {
             Await.until("ready", () -> get(node, "/ready").status() == 200);
+            // The list of servers is read before the node is ready, and shown once its event is reduced.
+            String server = backend.address().toString();
+            Await.until(
+                    "the server is shown",
+                    () -> get(node, "/dump", TOKEN).text().contains(server));
             assertThat(get(node, "/live").status()).isEqualTo(200);
             assertThat(get(node, "/dump").status()).isEqualTo(401);
             assertThat(get(node, "/dump", "Authorization: Bearer secret").status())
