Log what is wrong with a request that is refused before it is read

The log named status and reason only, so that the forms of malformed requests could not be told apart. The line now has the sentence of the refusal, with what was expected and what came; received lines are cut to 100 characters.

--- a/node/src/main/java/org/fuchsiadeck/node/client/ResponseGate.java
+++ b/node/src/main/java/org/fuchsiadeck/node/client/ResponseGate.java
@@ -56,8 +56,9 @@
         /** Passes on what has been received, until the connection is paused. */
         void passOn() {
             try {
-                while (sink.isOpen() && !connection.isPaused() && passNext()) {
-                    continue;
+                boolean passed = true;
+                while (passed && sink.isOpen() && !connection.isPaused()) {
+                    passed = passNext();
                 }
             } catch (MalformedMessageException e) {
                 connection.handleParseError("malformed response: " + e.getMessage());
--- a/node/src/main/java/org/fuchsiadeck/node/front/MalformedRequests.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/MalformedRequests.java
@@ -36,6 +36,6 @@
         return Refusal.notRun(
                 ErrorResponse.status(error.kind()),
                 large ? "headers_too_large" : "bad_request",
-                large ? "The headers are too large." : "The request is not valid HTTP.");
+                (large ? "The headers are too large: " : "The request is not valid HTTP: ") + error.getMessage() + ".");
     }
 }
--- a/node/src/main/java/org/fuchsiadeck/node/front/RefusalLog.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/RefusalLog.java
@@ -15,6 +15,7 @@
 record RefusalLog(EffectHandler<Effect.Log> log, MetricRegistry metrics) {
     void note(Refusal refusal) {
         metrics.counter("front.refused." + refusal.reason()).inc();
-        log.handle(new Effect.Log(EventCode.BAD_REQUEST, refusal.status() + " " + refusal.reason()));
+        log.handle(new Effect.Log(
+                EventCode.BAD_REQUEST, refusal.status() + " " + refusal.reason() + ": " + refusal.detail()));
     }
 }
--- a/node/src/main/java/org/fuchsiadeck/node/http/BodyFraming.java
+++ b/node/src/main/java/org/fuchsiadeck/node/http/BodyFraming.java
@@ -80,7 +80,8 @@
             throw MalformedMessageException.syntax("Transfer-Encoding is not allowed in HTTP/1.0");
         }
         if (!coding.toLowerCase(Locale.ROOT).equals("chunked")) {
-            throw MalformedMessageException.syntax("expected the transfer coding chunked, got '" + coding + "'");
+            throw MalformedMessageException.syntax(
+                    "expected the transfer coding chunked, got " + Grammar.quote(coding));
         }
         return CHUNKED;
     }
@@ -90,7 +91,7 @@
                 && text.length() <= MAX_LENGTH_DIGITS
                 && text.chars().allMatch(c -> c >= '0' && c <= '9');
         if (!digits) {
-            throw MalformedMessageException.syntax("expected a length of 1 to 18 digits, got '" + text + "'");
+            throw MalformedMessageException.syntax("expected a length of 1 to 18 digits, got " + Grammar.quote(text));
         }
         return new BodyFraming(Kind.LENGTH, Long.parseLong(text));
     }
--- a/node/src/main/java/org/fuchsiadeck/node/http/ChunkedBody.java
+++ b/node/src/main/java/org/fuchsiadeck/node/http/ChunkedBody.java
@@ -71,7 +71,7 @@
         queue.skip(LINE_END.length);
         Matcher size = SIZE_LINE.matcher(line);
         if (!size.matches()) {
-            throw MalformedMessageException.syntax("expected the size of a chunk, got '" + line + "'");
+            throw MalformedMessageException.syntax("expected the size of a chunk, got " + Grammar.quote(line));
         }
         remainingBytes = Long.parseLong(size.group(1), HEXADECIMAL);
         state = remainingBytes == 0 ? State.TRAILER : State.DATA;
--- a/node/src/main/java/org/fuchsiadeck/node/http/Grammar.java
+++ b/node/src/main/java/org/fuchsiadeck/node/http/Grammar.java
@@ -6,6 +6,10 @@
 final class Grammar {
     private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
     private static final int DELETE = 0x7f;
+
+    /** Characters of a received line that a message quotes. */
+    private static final int MAX_QUOTED = 100;
+
     private static final boolean[] TOKEN = tokenCharacters();
 
     private Grammar() {}
@@ -46,6 +50,12 @@
         return c >= ' ' && c != DELETE || c == '\t';
     }
 
+    /** Returns a received line in quotes, cut to a length that fits a message. */
+    static String quote(String line) {
+        boolean cut = line.length() > MAX_QUOTED;
+        return "'" + (cut ? line.substring(0, MAX_QUOTED) + "..." : line) + "'";
+    }
+
     /** Removes blanks and tabs at both ends. */
     static String trim(String text) {
         int start = 0;
--- a/node/src/main/java/org/fuchsiadeck/node/http/MessageHead.java
+++ b/node/src/main/java/org/fuchsiadeck/node/http/MessageHead.java
@@ -38,7 +38,7 @@
         private static Field parse(String line) throws MalformedMessageException {
             int colon = line.indexOf(':');
             if (colon < 0 || !Grammar.isToken(line.substring(0, colon))) {
-                throw MalformedMessageException.syntax("expected a header field, got '" + line + "'");
+                throw MalformedMessageException.syntax("expected a header field, got " + Grammar.quote(line));
             }
             return new Field(line.substring(0, colon), Grammar.trim(line.substring(colon + 1)));
         }
@@ -58,7 +58,7 @@
                 && Grammar.isVisible(parts[1])
                 && (parts[2].equals(HTTP_11) || parts[2].equals(HTTP_10));
         if (!valid) {
-            throw MalformedMessageException.syntax("expected a request line, got '" + line + "'");
+            throw MalformedMessageException.syntax("expected a request line, got " + Grammar.quote(line));
         }
         MessageHead head = new MessageHead(line, parts[2], 0, parseFields(text, line.length() + LINE_END.length()));
         int hosts = head.values("host").size();
@@ -77,7 +77,7 @@
         String text = new String(bytes, StandardCharsets.ISO_8859_1);
         Matcher line = STATUS_LINE.matcher(startLine(text));
         if (!line.matches()) {
-            throw MalformedMessageException.syntax("expected a status line, got '" + startLine(text) + "'");
+            throw MalformedMessageException.syntax("expected a status line, got " + Grammar.quote(startLine(text)));
         }
         List<Field> fields = parseFields(text, line.group().length() + LINE_END.length());
         return new MessageHead(line.group(), line.group(1), Integer.parseInt(line.group(2)), fields);
