Go on reading a head that fills the buffer

Callers would have seen no answer, where 431 is due: a head that is as long as the limit of the buffer, 32 KiB, and not whole was no longer read.

Change: it stops only if something else has to happen first, an answer or a demand for a body. The reader bounds heads by itself.

Evidence: RequestPathTest.answersAHeadThatReachesItsMaximumLengthBeforeItsEnd timed out before, and passes.

--- a/node/src/main/java/org/fuchsiadeck/node/http/RequestGate.java
+++ b/node/src/main/java/org/fuchsiadeck/node/http/RequestGate.java
@@ -132,20 +132,24 @@
         }
 
         private void passOn() {
-            while (!rejected && sink.isOpen() && mayPassOn()) {
+            boolean incomplete = false;
+            while (!incomplete && !rejected && sink.isOpen() && mayPassOn()) {
                 Optional<MessagePart> part = next();
-                if (part.isEmpty()) {
-                    break;
-                }
-                bodyWanted = false;
-                passedWhole = part.get().last();
-                sink.pass(part.get());
+                incomplete = part.isEmpty();
+                part.ifPresent(this::pass);
             }
             if (sink.isOpen()) {
-                sink.setReading(rejected || reader.bufferedBytes() < MAX_BUFFERED_BYTES);
+                boolean room = reader.bufferedBytes() < MAX_BUFFERED_BYTES;
+                sink.setReading(rejected || incomplete || room);
             }
         }
 
+        private void pass(MessagePart part) {
+            bodyWanted = false;
+            passedWhole = part.last();
+            sink.pass(part);
+        }
+
         private boolean mayPassOn() {
             if (passedWhole && answered) {
                 passedWhole = false;
