--- a/node/src/main/java/org/fuchsiadeck/node/http/ErrorResponse.java
+++ b/node/src/main/java/org/fuchsiadeck/node/http/ErrorResponse.java
@@ -14,6 +14,8 @@
  * Final response to bytes that are not a request, so that no codec has parsed them.
  */
 public final class ErrorResponse {
+    private static final int BAD_REQUEST = 400;
+    private static final int HEAD_TOO_LARGE = 431;
     private static final String LINE_END = "\r\n";
 
     private final StringBuilder head;
@@ -43,7 +45,7 @@
      * @return the HTTP status
      */
     public static int status(MalformedMessageException.Kind kind) {
-        return kind == MalformedMessageException.Kind.TOO_LARGE ? 431 : 400;
+        return kind == MalformedMessageException.Kind.TOO_LARGE ? HEAD_TOO_LARGE : BAD_REQUEST;
     }
 
     private static String reasonPhrase(MalformedMessageException.Kind kind) {
