Test that an ambiguous answer of the platform's service fails its call

The client of the platform's service reads through the same gate as that of backend servers, which no test showed.

--- a/node/src/test/java/org/fuchsiadeck/node/platform/HttpCallsTest.java
+++ b/node/src/test/java/org/fuchsiadeck/node/platform/HttpCallsTest.java
@@ -17,11 +17,13 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.assertj.core.api.Assertions.assertThat;
 
-/** A service whose answers have no end. */
+/** A service whose answers have no end, or two. */
 class HttpCallsTest {
     private static final int CALLS = 12;
     private static final int PART_BYTES = 3 << 20;
@@ -151,4 +153,21 @@
         });
         assertThat(call(LONG_MS).join().isLeft()).isTrue();
     }
+
+    /** Such an answer was taken as whole, with the wrong one of two ends. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Content-Length: 1\r\nContent-Length: 2",
+                "Content-Length: 2\r\nTransfer-Encoding: chunked",
+                "Transfer-Encoding: gzip, chunked",
+                "Transfer-Encoding: xchunked",
+                "Transfer-Encoding : chunked",
+                "X: a\r\n Content-Length: 1",
+                "X: a\nContent-Length: 1"
+            })
+    void anAnswerWhoseEndIsAmbiguousFailsTheCall(String framing) {
+        serve(out -> write(out, "HTTP/1.1 200 OK\r\n" + framing + "\r\n\r\n2\r\n{}\r\n0\r\n\r\n"));
+        assertThat(call(LONG_MS).join().isLeft()).isTrue();
+    }
 }
