Log when events wait for the event loop, and how long a configuration waited

No log or metric told whether a late configuration had not arrived, was not parsed, or waited for the event loop. LOOP_BEHIND and LOOP_CAUGHT_UP are logged by the watchdog, loop.wait_ms is a histogram, and CONFIG_APPLIED says when the revision was requested and when its text arrived. No decision changes. ConfigReducerTest expects the new field.

--- a/core/src/main/java/org/fuchsiadeck/core/EventCode.java
+++ b/core/src/main/java/org/fuchsiadeck/core/EventCode.java
@@ -12,6 +12,8 @@
     SETTINGS_REJECTED(1005, Level.ERROR, "The changed settings file is invalid; the previous settings stay in force."),
     LOOP_BUSY(1006, Level.WARN, "One event blocks the node's event loop."),
     LOOP_LOST(1007, Level.ERROR, "The node's event loop handles no more events; the process ends to be restarted."),
+    LOOP_BEHIND(1008, Level.WARN, "Events wait long for the node's event loop."),
+    LOOP_CAUGHT_UP(1009, Level.INFO, "Events are handled without delay again."),
     REQUEST_REFUSED(2001, Level.INFO, "A request was refused and not run."),
     REQUEST_OUTCOME_UNKNOWN(2002, Level.WARN, "A request failed after it may have run."),
     REQUEST_RETRIED(2003, Level.INFO, "A request is tried on another backend server."),
--- a/core/src/main/java/org/fuchsiadeck/core/config/ConfigReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/ConfigReducer.java
@@ -1,5 +1,6 @@
 package org.fuchsiadeck.core.config;
 
+import java.util.LinkedHashMap;
 import java.util.Map;
 
 import org.fuchsiadeck.core.Effect;
@@ -101,12 +102,24 @@
         if (revision <= reduction.revision()) {
             return Step.of(reduction.state());
         }
+        reduction.emit(logApplied(reduction, revision, event.source()));
         reduction.setCurrent(event.configuration(), event.value(), event.source());
-        reduction.log(EventCode.CONFIG_APPLIED, "revision " + revision + " from " + event.source());
         PeerExchange.broadcastRevision(reduction);
         return finish(reduction);
     }
 
+    /** Says how long ago the revision was requested from a peer, if it was, and how long ago its text arrived. */
+    private static Effect logApplied(ConfigReduction reduction, long revision, String source) {
+        Map<String, Object> fields = new LinkedHashMap<>();
+        ConfigState.ExchangeState exchange = reduction.state().exchange();
+        if (exchange.fetching() >= revision) {
+            fields.put("requested_ms", reduction.nowMs() - exchange.fetchedMs());
+        }
+        fields.put(
+                "arrived_ms", reduction.nowMs() - reduction.state().candidate().sinceMs());
+        return new Effect.Log(EventCode.CONFIG_APPLIED, "revision " + revision + " from " + source, fields);
+    }
+
     private static Step<ConfigState> onRejected(ConfigReduction reduction, ConfigEvent.Rejected event) {
         if (event.revision() <= reduction.newestHandledRevision()) {
             return Step.of(reduction.state());
--- a/core/src/test/java/org/fuchsiadeck/core/config/ConfigReducerTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/config/ConfigReducerTest.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 
@@ -85,7 +86,8 @@
         assertThat(state.unready())
                 .containsExactly("no configuration is known", "configuration 5 is not in force here yet");
         assertThat(ofType(reduce(parsed(5)), Effect.Log.class))
-                .containsExactly(new Effect.Log(EventCode.CONFIG_APPLIED, "revision 5 from platform"));
+                .containsExactly(
+                        new Effect.Log(EventCode.CONFIG_APPLIED, "revision 5 from platform", Map.of("arrived_ms", 0L)));
         assertThat(state.unready()).isEmpty();
     }
 
--- a/node/src/main/java/org/fuchsiadeck/node/run/EventLoop.java
+++ b/node/src/main/java/org/fuchsiadeck/node/run/EventLoop.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 
 import com.codahale.metrics.Counter;
+import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.Timer;
 import org.fuchsiadeck.core.Effect;
@@ -34,9 +35,11 @@
     private final Thread thread = new Thread(this::loop, "event-loop");
     private final Counter failures;
     private final Timer reductions;
+    private final Histogram waits;
     private volatile NodeState state;
     private volatile Event currentEvent;
     private volatile long startedEvents;
+    private volatile long lastWaitMs;
     private volatile boolean closed;
     private long scheduledCount;
 
@@ -54,6 +57,7 @@
         this.effects = requireNonNull(effects, "effects");
         this.failures = metrics.counter("loop.failures");
         this.reductions = metrics.timer("loop.reductions");
+        this.waits = metrics.histogram("loop.wait_ms");
         metrics.registerGauge("loop.queued", queue::size);
     }
 
@@ -85,7 +89,7 @@
         Event event = currentEvent;
         boolean hasDied = !closed && thread.getState() == Thread.State.TERMINATED;
         String eventType = event == null ? "" : event.getClass().getSimpleName();
-        return new LoopStatus(startedEvents, eventType, event != null, hasDied, thread);
+        return new LoopStatus(startedEvents, eventType, event != null, hasDied, lastWaitMs, queue.size(), thread);
     }
 
     @Override
@@ -131,12 +135,12 @@
         ScheduledEvent due = timers.peek();
         if (due != null && due.atMs() <= nowMs() && !hasEventQueuedBy(due.atMs())) {
             timers.remove();
-            reduce(due.event());
+            reduce(due.event(), due.atMs());
             return;
         }
         QueuedEvent queued = queue.poll(maxWaitMs(), TimeUnit.MILLISECONDS);
         if (queued != null) {
-            reduce(queued.event());
+            reduce(queued.event(), queued.atMs());
         }
     }
 
@@ -157,7 +161,9 @@
         return Math.max(0, Math.min(MAX_WAIT_MS, due.atMs() - nowMs()));
     }
 
-    private void reduce(Event event) {
+    private void reduce(Event event, long sinceMs) {
+        lastWaitMs = nowMs() - sinceMs;
+        waits.update(lastWaitMs);
         startedEvents++;
         currentEvent = event;
         applyEvent(event);
@@ -201,9 +207,12 @@
      * @param eventType simple class name of the event in progress; empty while the loop is idle
      * @param busy whether an event is in progress
      * @param hasDied whether the thread has terminated although the loop was not closed
+     * @param waitMs how long the last event or timer waited for the loop, in milliseconds
+     * @param queued number of events that wait
      * @param thread the loop's thread
      */
-    record LoopStatus(long eventCount, String eventType, boolean busy, boolean hasDied, Thread thread) {
+    record LoopStatus(
+            long eventCount, String eventType, boolean busy, boolean hasDied, long waitMs, int queued, Thread thread) {
         StackTraceElement[] stack() {
             return thread.getStackTrace();
         }
--- a/node/src/main/java/org/fuchsiadeck/node/run/EventLoopWatchdog.java
+++ b/node/src/main/java/org/fuchsiadeck/node/run/EventLoopWatchdog.java
@@ -23,6 +23,12 @@
     /** Repeated checks of one event after which the loop is lost; longer than a garbage collection of a full heap. */
     static final int CHECKS_UNTIL_LOST = 20;
 
+    /** Wait of an event from which the loop is logged as behind, in milliseconds. */
+    static final long BEHIND_MS = 500;
+
+    /** Wait of an event below which the loop has caught up, in milliseconds. */
+    static final long CAUGHT_UP_MS = 100;
+
     private static final long CHECK_INTERVAL_MS = 250;
 
     /** Maximum number of stack frames in a log line. */
@@ -34,6 +40,7 @@
     private final Thread thread = new Thread(this::run, "event-loop-watch");
     private long lastEventCount = -1;
     private int repeatedChecks;
+    private boolean behind;
 
     /**
      * Creates a watchdog. It runs after {@link #start} is called.
@@ -81,6 +88,7 @@
         boolean sameEvent = status.busy() && status.eventCount() == lastEventCount;
         repeatedChecks = sameEvent ? repeatedChecks + 1 : 0;
         lastEventCount = status.eventCount();
+        checkWait(status);
         if (repeatedChecks == CHECKS_UNTIL_LOGGED) {
             log(EventCode.LOOP_BUSY, status);
         }
@@ -91,6 +99,23 @@
         return true;
     }
 
+    private void checkWait(EventLoop.LoopStatus status) {
+        if (!behind && status.waitMs() >= BEHIND_MS) {
+            behind = true;
+            logWait(EventCode.LOOP_BEHIND, status);
+        } else if (behind && status.waitMs() < CAUGHT_UP_MS) {
+            behind = false;
+            logWait(EventCode.LOOP_CAUGHT_UP, status);
+        }
+    }
+
+    private void logWait(EventCode code, EventLoop.LoopStatus status) {
+        Map<String, Object> fields = new LinkedHashMap<>();
+        fields.put("wait_ms", status.waitMs());
+        fields.put("queued", status.queued());
+        log.handle(new Effect.Log(code, "", fields));
+    }
+
     private void log(EventCode code, EventLoop.LoopStatus status) {
         Map<String, Object> fields = new LinkedHashMap<>();
         fields.put("event", status.eventType());
--- a/node/src/test/java/org/fuchsiadeck/node/run/EventLoopWatchdogTest.java
+++ b/node/src/test/java/org/fuchsiadeck/node/run/EventLoopWatchdogTest.java
@@ -95,6 +95,24 @@
         assertThat(logged).isEmpty();
     }
 
+    @Test
+    void logsWhenEventsWaitAndWhenTheyDoNotWaitAnyMore() throws Exception {
+        start((state, now, wall, event) -> hold(state));
+        loop.post(new Note());
+        Thread.sleep(EventLoopWatchdog.BEHIND_MS);
+        released.countDown();
+        Await.until("both events", () -> loop.status().eventCount() == 2);
+        watchdog.check();
+        watchdog.check();
+        loop.post(new Note());
+        Await.until("the third event", () -> loop.status().eventCount() == 3);
+        watchdog.check();
+        assertThat(logged)
+                .extracting(Effect.Log::code)
+                .containsExactly(EventCode.LOOP_BEHIND, EventCode.LOOP_CAUGHT_UP);
+        assertThat((long) logged.get(0).fields().get("wait_ms")).isGreaterThanOrEqualTo(EventLoopWatchdog.BEHIND_MS);
+    }
+
     @Test
     void doesNotReportClosedLoopAsLost() {
         start((state, now, wall, event) -> Step.of(state));
