--- a/node/src/test/java/org/fuchsiadeck/node/run/EventLoopTest.java
+++ b/node/src/test/java/org/fuchsiadeck/node/run/EventLoopTest.java
@@ -9,11 +9,19 @@
 import org.fuchsiadeck.core.Event;
 import org.fuchsiadeck.core.Identity;
 import org.fuchsiadeck.core.NodeState;
+import org.fuchsiadeck.core.PeerReceived;
 import org.fuchsiadeck.core.Step;
+import org.fuchsiadeck.core.config.ConfigEvent;
+import org.fuchsiadeck.core.config.ConfigMessage;
+import org.fuchsiadeck.core.config.Configuration;
 import org.fuchsiadeck.core.model.Address;
 import org.fuchsiadeck.core.model.NodeId;
+import org.fuchsiadeck.core.model.RequestId;
 import org.fuchsiadeck.core.model.Zone;
+import org.fuchsiadeck.core.platform.PlatformEvent;
+import org.fuchsiadeck.core.request.RequestEvent;
 import org.fuchsiadeck.node.testing.Await;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -110,6 +118,38 @@
         }
     }
 
+    /** Requests came in faster than they were decided, and configurations waited for seconds behind them. */
+    @Test
+    @Tag("known-red")
+    void aConfigurationIsNotDelayedByQueuedRequests() throws Exception {
+        CountDownLatch released = new CountDownLatch(1);
+        CountDownLatch held = new CountDownLatch(1);
+        EventReducer reducer = (state, now, wall, event) -> {
+            if (event.equals(new TestEvent("hold"))) {
+                held.countDown();
+                awaitQuietly(released);
+            }
+            processed.add(event.getClass().getSimpleName());
+            return event instanceof ConfigEvent.Parsed
+                    ? Step.of(state, new Effect.Schedule(now, new ConfigEvent.Tick()))
+                    : Step.of(state);
+        };
+        try (EventLoop loop = startLoop(reducer, e -> {})) {
+            loop.post(new TestEvent("hold"));
+            held.await();
+            for (int i = 0; i < 100; i++) {
+                loop.offer(new RequestEvent.CallerGone(new RequestId("q" + i)));
+            }
+            loop.post(new PlatformEvent.CallFailed("config/watch/1", "no answer", true));
+            loop.post(new PeerReceived(new NodeId("peer"), new ConfigMessage.Announce(2)));
+            loop.post(new ConfigEvent.Parsed(Configuration.NONE, "", "platform"));
+            released.countDown();
+            Await.until("all events", () -> processed.size() == 105);
+            assertThat(processed.subList(0, 5))
+                    .containsExactly("TestEvent", "CallFailed", "PeerReceived", "Parsed", "Tick");
+        }
+    }
+
     private EventLoop startLoop(EventReducer reducer, EffectHandler<Effect> effects) {
         EventLoop loop = new EventLoop(initial, reducer, effects, new MetricRegistry());
         loop.start();
