Watch the configuration at every node, not only at two of each zone

What callers would see: 404 for a route that had been added seconds before, on all nodes but those that start, for up to 45 s.

Cause: two nodes of each zone watched the key, as their own view of who is alive tells; the others depended on them and polled every 15 to 45 s. Nodes that stop without notice are taken for alive for some seconds, so that after a loss of the watchers nobody watches.

ConfigPropagationTest.appliesRevisionEverywhereInTimeAfterAllWatchersStopped failed in 6 of 6 cases (12, 60 and 370 nodes) after 2 s.

Change: every node watches; the watchers of each zone with a wait of 2 s as before, the others with the longest wait that the service allows, in place of the polls. The bounds on calls of the service hold unchanged.

--- a/core/src/main/java/org/fuchsiadeck/core/config/PlatformReader.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/PlatformReader.java
@@ -8,17 +8,18 @@
 import org.fuchsiadeck.core.platform.PlatformEvent;
 
 /**
- * Reads the configuration from the platform's key-value service. The watchers of each zone watch the key; the other
- * nodes poll it every 15 to 45 seconds.
+ * Reads the configuration from the platform's key-value service. Every node watches the key. The watchers of each zone
+ * renew their watches often, so that a broken connection is noticed soon; on other nodes it is noticed by the peers'
+ * announcements.
  */
 final class PlatformReader {
     static final String TAG_PREFIX = "config/";
 
-    /** Time that the service holds a watch open without a change. */
+    /** Time that the service holds a watch of a zone's watchers open without a change. */
     static final long WATCH_WAIT_MS = 2_000;
 
-    /** Mean time between polls of a node that does not watch; each pause is drawn from 0.5 to 1.5 times this. */
-    static final long POLL_MS = 30_000;
+    /** The same for all other nodes; the most that the service allows. */
+    static final long LONG_WATCH_WAIT_MS = 30_000;
 
     /** Bound of the random delay after a failure, before it is doubled for each failure in a row. */
     static final long BACKOFF_BASE_MS = 100;
@@ -66,10 +67,11 @@
         if (reader.call().isPresent() || reduction.nowMs() < reader.nextMs()) {
             return;
         }
-        boolean watch = reader.position().isPresent() && isWatcher(reduction);
+        boolean watch = reader.position().isPresent();
+        long waitMs = isWatcher(reduction) ? WATCH_WAIT_MS : LONG_WATCH_WAIT_MS;
         long sequence = reader.sequence() + 1;
         String tag = TAG_PREFIX + (watch ? "watch/" : "read/") + sequence;
-        long deadline = reduction.nowMs() + (watch ? WATCH_WAIT_MS : 0) + CALL_TIMEOUT_MS;
+        long deadline = reduction.nowMs() + (watch ? waitMs : 0) + CALL_TIMEOUT_MS;
         ConfigState.Call call = new ConfigState.Call(tag, reduction.nowMs(), deadline);
         reduction.setReading(new ConfigState.ReaderState(
                 sequence,
@@ -81,7 +83,7 @@
         reduction.emit(
                 watch
                         ? new PlatformEffect.Watch(
-                                tag, ConfigReducer.KEY, reader.position().getAsLong(), WATCH_WAIT_MS)
+                                tag, ConfigReducer.KEY, reader.position().getAsLong(), waitMs)
                         : new PlatformEffect.Get(tag, ConfigReducer.KEY));
     }
 
@@ -108,8 +110,7 @@
 
     private static void onRead(ConfigReduction reduction, long serviceRevision) {
         logRecovery(reduction);
-        long pause = isWatcher(reduction) ? 0 : POLL_MS / 2 + reduction.randomBelow(POLL_MS);
-        reduction.finishCall(OptionalLong.of(serviceRevision), reduction.nowMs() + pause, 0, false);
+        reduction.finishCall(OptionalLong.of(serviceRevision), reduction.nowMs(), 0, false);
     }
 
     private static void onWatched(ConfigReduction reduction, PlatformEvent.Watched watched, ConfigState.Call call) {
@@ -121,8 +122,7 @@
             return;
         }
         boolean endedEarly = watched.entries().isEmpty() && now - call.sentMs() < WATCH_WAIT_MS / 2;
-        long pause =
-                isWatcher(reduction) ? endedEarly ? RETRY_PAUSE_MS : 0 : POLL_MS / 2 + reduction.randomBelow(POLL_MS);
+        long pause = endedEarly ? RETRY_PAUSE_MS : 0;
         reduction.finishCall(OptionalLong.of(watched.serviceRevision()), now + pause, 0, false);
     }
 
--- a/core/src/test/java/org/fuchsiadeck/core/config/ConfigCluster.java
+++ b/core/src/test/java/org/fuchsiadeck/core/config/ConfigCluster.java
@@ -43,6 +43,10 @@
     int duplicatePercent;
     long maxDelayMs = 1;
     boolean outage;
+
+    /** Whether nodes go on taking stopped ones for alive, as they do for some seconds. */
+    boolean staleViews;
+
     int platformCalls;
     long revision;
     private final ConfigReducer reducer = new ConfigReducer();
@@ -84,7 +88,19 @@
 
     void stop(NodeId id) {
         nodes.remove(id);
-        peers.clear();
+        if (!staleViews) {
+            peers.clear();
+        }
+    }
+
+    /** Stops the nodes of each zone that watch the key; the others do not know it yet. */
+    void stopWatchersUnnoticed() {
+        staleViews = true;
+        List<NodeId> watchers = nodes.values().stream()
+                .filter(n -> Watchers.includes(n.self, view(n).peers()))
+                .map(n -> n.self.id())
+                .toList();
+        watchers.forEach(this::stop);
     }
 
     Node randomNode() {
--- a/core/src/test/java/org/fuchsiadeck/core/config/ConfigPropagationTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/config/ConfigPropagationTest.java
@@ -22,6 +22,9 @@
     private static final long MAX_PROPAGATION_MS = 5_000;
     private static final long SAMPLE_MS = 120_000;
 
+    /** The shortest time in which a configuration has to be in force everywhere. */
+    private static final long MAX_APPLY_MS = 2_000;
+
     private static ConfigCluster startedCluster(long seed, int nodes) {
         ConfigCluster cluster = new ConfigCluster(seed);
         cluster.publishRevision();
@@ -100,6 +103,17 @@
         assertThat(cluster.runUntilApplied(MAX_PROPAGATION_MS)).isLessThan(MAX_PROPAGATION_MS);
     }
 
+    /** Nodes that did not watch learned of a configuration by their next poll only, up to 45 s later. */
+    @ParameterizedTest
+    @CsvSource({"12, 1", "12, 2", "60, 1", "60, 2", "60, 3", "370, 1"})
+    void appliesRevisionEverywhereInTimeAfterAllWatchersStopped(int nodes, long seed) {
+        ConfigCluster cluster = startedCluster(seed, nodes);
+        cluster.runFor(5_000);
+        cluster.stopWatchersUnnoticed();
+        cluster.publishRevision();
+        assertThat(cluster.runUntilApplied(MAX_APPLY_MS)).isLessThan(MAX_APPLY_MS);
+    }
+
     @ParameterizedTest
     @CsvSource({"8, 5", "370, 20"})
     void appliesRevisionEverywhereWithFewServiceCalls(int nodes, int maxCallsPerSecond) {
