Close the connection of a broken stream without the lock of its response

What callers saw: a node that answers nothing but 401 and 404 by an old configuration, for 5 s until its watchdog ends the process.

Cause: to break off a stream that has begun, the event loop closed the caller's connection while it held the lock of the response; the close takes the lock of the connection. The search for stalled callers, every 250 ms, takes the lock of the connection and then that of the response. Each waits for the other for ever. A write that fails at once had the same order.

Change: the connection is closed by the thread that writes. CallerResponseTest timed out before, with a real connection, and passes.

--- a/node/src/main/java/org/fuchsiadeck/node/front/CallerResponse.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerResponse.java
@@ -142,7 +142,12 @@
     private void cut() {
         ending = true;
         finished = true;
-        connection.terminateSilently();
+        closeUnlocked();
+    }
+
+    /** Closes the connection without this lock: its callbacks take locks under which other threads wait for this one. */
+    private void closeUnlocked() {
+        pump.execute(connection::terminateSilently);
     }
 
     @Override
@@ -298,7 +303,7 @@
 
         @Override
         public void onError(Throwable error) {
-            connection.terminateSilently();
+            closeUnlocked();
         }
     }
 }
