Say what the watchers of a zone are now, and drop a rule without effect

Since every node watches, a node that becomes a watcher has no poll to bring forward: its next call is at most half a second away. No behaviour changes. The tests of the configuration and GrowthTest pass.

--- a/core/src/main/java/org/fuchsiadeck/core/config/PlatformReader.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/PlatformReader.java
@@ -26,7 +26,7 @@
 
     static final long BACKOFF_MAX_MS = 4_000;
 
-    /** Longest delay of a call after a gap or an early empty watch result, and on a node that becomes a watcher. */
+    /** Longest delay of a call after a gap or an early empty watch result. */
     private static final long RETRY_PAUSE_MS = 500;
 
     /** Time for a result, in addition to the wait of a watch. */
@@ -44,7 +44,7 @@
         return tag(event).startsWith(TAG_PREFIX);
     }
 
-    /** Fails a call that is past its deadline, and lets a node that has become a watcher make its next call soon. */
+    /** Fails a call that is past its deadline. */
     static void onTick(ConfigReduction reduction) {
         ConfigState.ReaderState reader = reduction.state().reading();
         if (reader.call().isPresent()
@@ -53,11 +53,6 @@
                     reduction,
                     "no result before the deadline of call "
                             + reader.call().get().tag());
-            return;
-        }
-        if (reader.call().isEmpty() && reader.failures() == 0 && isWatcher(reduction)) {
-            long nextMs = Math.min(reader.nextMs(), reduction.nowMs() + RETRY_PAUSE_MS);
-            reduction.finishCall(reader.position(), nextMs, 0, reader.unavailable());
         }
     }
 
--- a/core/src/main/java/org/fuchsiadeck/core/config/Watchers.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/Watchers.java
@@ -4,7 +4,8 @@
 import org.fuchsiadeck.core.model.Peers;
 
 /**
- * Selects the few nodes of each zone that watch the platform's key-value service, by rendezvous hashing of live nodes.
+ * Selects the few nodes of each zone that renew their watches of the platform's key-value service often, by rendezvous
+ * hashing of live nodes.
  */
 final class Watchers {
     /** Watching nodes per zone. */
