Failing test of removed servers that some nodes go on using

Requests reached backend servers that had left. The test runs the reducers of 8, 60 and 370 nodes against a model of the platform's service and measures how long any node uses a server that was removed or reported that it leaves, with silent watches, lost and delayed messages, stopped, restarted and cut off nodes, discarded history, and nodes that the service turns away.

--- a/core/src/test/java/org/fuchsiadeck/core/scale/SimulatedFleet.java
+++ b/core/src/test/java/org/fuchsiadeck/core/scale/SimulatedFleet.java
@@ -1,6 +1,7 @@
 package org.fuchsiadeck.core.scale;
 
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
@@ -72,6 +73,7 @@
     private final Map<Address, String> addresses = new TreeMap<>(Comparator.comparing(Address::toString));
     private final PriorityQueue<Delivery> queue =
             new PriorityQueue<>(Comparator.comparingLong(Delivery::atMs).thenComparingLong(Delivery::order));
+    private final Set<String> separated = new HashSet<>();
     private double lossRate;
     private long delayMs;
     private long order;
@@ -103,6 +105,16 @@
         delayMs = ms;
     }
 
+    /** Loses all messages between the given nodes and the others. */
+    void separate(Set<String> ids) {
+        separated.addAll(ids);
+    }
+
+    /** Lets messages between all nodes arrive again. */
+    void reunite() {
+        separated.clear();
+    }
+
     /** Activates a configuration that contains only a team on all nodes. */
     void configure(Team team) {
         Configuration config = new Configuration(1, Configuration.NONE.defaults(), List.of(), List.of(), List.of(team));
@@ -162,7 +174,7 @@
             transmit(id, send.to(), send.message());
         } else if (effect instanceof PlatformEffect call) {
             calls.merge(call.getClass().getSimpleName() + " " + call.tag().replaceAll("[0-9]+", ""), 1, Integer::sum);
-            store.call(nowMs, call, event -> post(id, 4 + random.nextInt(3), event));
+            store.call(nowMs, id, call, event -> post(id, 4 + random.nextInt(3), event));
         } else if (effect instanceof DutyEffect.ReportUsage report) {
             reportedUsage.putIfAbsent(report.window(), report.counts());
         } else if (effect instanceof Effect.Log log) {
@@ -176,7 +188,8 @@
             sums.merge(from, 1, Integer::sum);
         }
         String id = addresses.get(to);
-        if (id != null && random.nextDouble() >= lossRate) {
+        boolean cut = id != null && separated.contains(from) != separated.contains(id);
+        if (id != null && !cut && random.nextDouble() >= lossRate) {
             post(id, delayMs + 1 + random.nextInt(2), new PeerReceived(new NodeId(from), message));
         }
     }
--- a/core/src/test/java/org/fuchsiadeck/core/scale/SimulatedStore.java
+++ b/core/src/test/java/org/fuchsiadeck/core/scale/SimulatedStore.java
@@ -2,18 +2,30 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import org.fuchsiadeck.core.Event;
 import org.fuchsiadeck.core.platform.PlatformEffect;
 import org.fuchsiadeck.core.platform.PlatformEvent;
 
-/** Simulates the platform's key-value service in virtual time, with leases that expire and watches that wait. */
+/**
+ * Simulates the platform's key-value service in virtual time, with leases that expire and watches that wait. It can turn
+ * nodes away, leave them without an answer and lose its history.
+ */
 final class SimulatedStore {
+    /** The nodes whose calls are refused. */
+    final Set<String> refused = new HashSet<>();
+
+    /** The nodes whose calls are never answered. */
+    final Set<String> unanswered = new HashSet<>();
+
     private final TreeMap<String, PlatformEvent.Entry> items = new TreeMap<>();
     private final Map<String, String> leaseByKey = new HashMap<>();
     private final Map<String, Long> expiryMs = new HashMap<>();
@@ -21,8 +33,9 @@
     private final List<PlatformEvent.Entry> history = new ArrayList<>();
     private final List<PendingWatch> watches = new ArrayList<>();
     private long revision = 1;
+    private long forgottenRevision;
 
-    private record PendingWatch(PlatformEffect.Watch call, long untilMs, Consumer<Event> answer) {}
+    private record PendingWatch(String caller, PlatformEffect.Watch call, long untilMs, Consumer<Event> answer) {}
 
     /** Writes a value unconditionally, as an operator or a backend server does. */
     void write(String key, String value) {
@@ -30,7 +43,34 @@
         apply(new PlatformEvent.Entry(key, Optional.of(value), revision));
     }
 
-    void call(long nowMs, PlatformEffect call, Consumer<Event> answer) {
+    /** Removes a key, as a backend server's lease does when it ends. */
+    void remove(String key) {
+        revision++;
+        apply(new PlatformEvent.Entry(key, Optional.empty(), revision));
+    }
+
+    /** Never answers the waiting watches of some callers, as broken connections do. */
+    void silenceWatches(Predicate<String> callers) {
+        watches.removeIf(w -> callers.test(w.caller()));
+    }
+
+    /** Discards the history, so that watches from before have a gap. */
+    void forgetHistory() {
+        forgottenRevision = revision;
+        history.clear();
+        List<PendingWatch> ended = List.copyOf(watches);
+        watches.clear();
+        ended.forEach(w -> w.answer().accept(new PlatformEvent.Watched(w.call().tag(), List.of(), revision, true)));
+    }
+
+    void call(long nowMs, String caller, PlatformEffect call, Consumer<Event> answer) {
+        if (unanswered.contains(caller)) {
+            return;
+        }
+        if (refused.contains(caller)) {
+            answer.accept(new PlatformEvent.CallFailed(call.tag(), "refused", true));
+            return;
+        }
         if (call instanceof PlatformEffect.Get get) {
             answer.accept(new PlatformEvent.Found(call.tag(), Optional.ofNullable(items.get(get.key())), revision));
         } else if (call instanceof PlatformEffect.ListKeys list) {
@@ -39,7 +79,7 @@
                     .toList();
             answer.accept(new PlatformEvent.KeysListed(call.tag(), found, revision));
         } else if (call instanceof PlatformEffect.Watch watch) {
-            watch(nowMs, watch, answer);
+            watch(nowMs, caller, watch, answer);
         } else if (call instanceof PlatformEffect.GrantLease grant) {
             String lease = "l" + expiryMs.size();
             expiryMs.put(lease, nowMs + grant.ttlMs());
@@ -75,12 +115,16 @@
                 w -> w.answer().accept(new PlatformEvent.Watched(w.call().tag(), List.of(), revision, false)));
     }
 
-    private void watch(long nowMs, PlatformEffect.Watch watch, Consumer<Event> answer) {
+    private void watch(long nowMs, String caller, PlatformEffect.Watch watch, Consumer<Event> answer) {
+        if (watch.afterRevision() < forgottenRevision) {
+            answer.accept(new PlatformEvent.Watched(watch.tag(), List.of(), revision, true));
+            return;
+        }
         List<PlatformEvent.Entry> changes = history.stream()
                 .filter(e -> e.revision() > watch.afterRevision() && e.key().startsWith(watch.prefix()))
                 .toList();
         if (changes.isEmpty()) {
-            watches.add(new PendingWatch(watch, nowMs + watch.waitMs(), answer));
+            watches.add(new PendingWatch(caller, watch, nowMs + watch.waitMs(), answer));
         } else {
             answer.accept(new PlatformEvent.Watched(watch.tag(), changes, revision, false));
         }
