Check again before the first byte that the chosen server has not left

A request that waits for a connection was written to the server that was chosen when it was placed, even if the node learned meanwhile that the server had left.

The attempt now reads the node's current list when it starts to write, and fails as not written if the server has departed, so that the request goes to another one. The histogram backend.write_wait_ms shows the time between choice and first byte.

AttemptTest.writesNothingToAServerThatLeftWhileTheNodeConnected failed without the check (the request was written).

--- a/node/src/main/java/org/fuchsiadeck/node/Node.java
+++ b/node/src/main/java/org/fuchsiadeck/node/Node.java
@@ -22,10 +22,13 @@
 import org.fuchsiadeck.core.duty.DutyEffect;
 import org.fuchsiadeck.core.membership.MembershipEffect;
 import org.fuchsiadeck.core.membership.MembershipEvent;
+import org.fuchsiadeck.core.model.BackendId;
 import org.fuchsiadeck.core.platform.PlatformEffect;
 import org.fuchsiadeck.core.platform.PlatformEvent;
 import org.fuchsiadeck.core.request.RequestCounters;
 import org.fuchsiadeck.core.request.RequestEffect;
+import org.fuchsiadeck.core.routing.BackendStatus;
+import org.fuchsiadeck.core.routing.Fleet;
 import org.fuchsiadeck.node.backend.BackendClient;
 import org.fuchsiadeck.node.client.HttpClient;
 import org.fuchsiadeck.node.exchange.ByteBudget;
@@ -113,7 +116,7 @@
                 client,
                 parts.backends(),
                 loop,
-                this::configuration,
+                new BackendClient.CurrentState(this::configuration, this::hasDeparted),
                 log,
                 metrics,
                 settings.limits().maxAnswerBytes());
@@ -300,6 +303,11 @@
         return all;
     }
 
+    private boolean hasDeparted(BackendId id) {
+        Fleet fleet = loop.state().requests().fleet();
+        return fleet.departure(id).isPresent() || !fleet.servers().get(id).exists(BackendStatus::listed);
+    }
+
     private Configuration configuration() {
         return parts.configuration().apply(loop.state());
     }
--- a/node/src/main/java/org/fuchsiadeck/node/backend/Attempt.java
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/Attempt.java
@@ -1,6 +1,7 @@
 package org.fuchsiadeck.node.backend;
 
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 import org.fuchsiadeck.core.model.BackendReport;
@@ -33,6 +34,7 @@
     private final RequestEffect.Dispatch dispatch;
     private final Supplier<OutgoingRequest> requestSupplier;
     private final AttemptResources resources;
+    private final long createdNanos = System.nanoTime();
     private volatile Optional<BackendReport> report = Optional.empty();
     private Step step = Step.CONNECTING;
     private boolean ended;
@@ -74,6 +76,11 @@
             resources.returnUnused(newConnection);
             return;
         }
+        if (resources.hasDeparted(dispatch.backend().id())) {
+            fail(Kind.UNREACHABLE, "the server left while the request waited for a connection");
+            newConnection.close();
+            return;
+        }
         OutgoingRequest outgoing;
         try {
             outgoing = requestSupplier.get();
@@ -100,6 +107,7 @@
             resources.returnUnused(newConnection);
             return;
         }
+        resources.recordWriteWait(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - createdNanos));
         newConnection.send(packet, this);
     }
 
--- a/node/src/main/java/org/fuchsiadeck/node/backend/AttemptResources.java
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/AttemptResources.java
@@ -2,12 +2,15 @@
 
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 
+import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import org.fuchsiadeck.core.Effect;
 import org.fuchsiadeck.core.EventCode;
 import org.fuchsiadeck.core.model.Address;
+import org.fuchsiadeck.core.model.BackendId;
 import org.fuchsiadeck.core.request.Failure;
 import org.fuchsiadeck.core.request.RequestEffect;
 import org.fuchsiadeck.node.client.HttpConnection;
@@ -26,6 +29,8 @@
     private final EffectHandler<Effect.Log> log;
     private final MetricRegistry metrics;
     private final int maxAnswerBytes;
+    private final Predicate<BackendId> departed;
+    private final Histogram writeWaits;
     private final ConnectionPool pool = new ConnectionPool();
     private final Map<HttpConnection, Boolean> awaitingEnd = new ConcurrentHashMap<>();
 
@@ -34,7 +39,10 @@
             EventSink events,
             EffectHandler<Effect.Log> log,
             MetricRegistry metrics,
-            int maxAnswerBytes) {
+            int maxAnswerBytes,
+            Predicate<BackendId> departed) {
+        this.departed = departed;
+        this.writeWaits = metrics.histogram("backend.write_wait_ms");
         this.protocol = protocol;
         this.events = events;
         this.log = log;
@@ -54,6 +62,16 @@
         return pool;
     }
 
+    /** Returns whether a server has left since it was chosen for an attempt. */
+    boolean hasDeparted(BackendId id) {
+        return departed.test(id);
+    }
+
+    /** Records the time from the choice of a server to the first byte of the request, in milliseconds. */
+    void recordWriteWait(long ms) {
+        writeWaits.update(ms);
+    }
+
     int maxAnswerBytes() {
         return maxAnswerBytes;
     }
--- a/node/src/main/java/org/fuchsiadeck/node/backend/BackendClient.java
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/BackendClient.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 import com.codahale.metrics.Counter;
@@ -12,6 +13,7 @@
 import org.fuchsiadeck.core.config.Configuration;
 import org.fuchsiadeck.core.config.Route;
 import org.fuchsiadeck.core.model.Address;
+import org.fuchsiadeck.core.model.BackendId;
 import org.fuchsiadeck.core.request.CallerRequest;
 import org.fuchsiadeck.core.request.Failure;
 import org.fuchsiadeck.core.request.RequestEffect;
@@ -24,6 +26,8 @@
 import org.fuchsiadeck.node.run.EffectHandler;
 import org.fuchsiadeck.node.run.EventSink;
 
+import static java.util.Objects.requireNonNull;
+
 /**
  * Sends requests to backend servers and reports the progress and outcome of each attempt as events.
  */
@@ -35,13 +39,26 @@
     private final Counter attempts;
     private final Counter reused;
 
+    /**
+     * The parts of the node's current state that attempts read when they start to write.
+     *
+     * @param configuration supplies the configuration in force
+     * @param departed returns whether a server has left
+     */
+    public record CurrentState(Supplier<Configuration> configuration, Predicate<BackendId> departed) {
+        public CurrentState {
+            requireNonNull(configuration, "configuration");
+            requireNonNull(departed, "departed");
+        }
+    }
+
     /**
      * Creates a client.
      *
      * @param client opens connections
      * @param protocol serializes requests and parses answers
      * @param events receives the events of the attempts
-     * @param configuration supplies the current configuration
+     * @param current reads the node's current state
      * @param log writes log events
      * @param metrics the registry of the client's counters
      * @param maxAnswerBytes the maximum length of an answer that is not streamed, in bytes
@@ -50,20 +67,20 @@
             HttpClient client,
             BackendProtocol protocol,
             EventSink events,
-            Supplier<Configuration> configuration,
+            CurrentState current,
             EffectHandler<Effect.Log> log,
             MetricRegistry metrics,
             int maxAnswerBytes) {
         this.client = client;
-        this.configuration = configuration;
-        this.resources = new AttemptResources(protocol, events, log, metrics, maxAnswerBytes);
-        this.ageLimits = new ConnectionAgeLimits(configuration, System::currentTimeMillis);
+        this.configuration = current.configuration();
+        this.resources = new AttemptResources(protocol, events, log, metrics, maxAnswerBytes, current.departed());
+        this.ageLimits = new ConnectionAgeLimits(current.configuration(), System::currentTimeMillis);
         this.attempts = metrics.counter("backend.attempts");
         this.reused = metrics.counter("backend.connections_reused");
     }
 
     /**
-     * Creates a client that uses the standard protocol.
+     * Creates a client that uses the standard protocol and takes no server for departed.
      *
      * @param client opens connections
      * @param events receives the events of the attempts
@@ -79,7 +96,14 @@
             EffectHandler<Effect.Log> log,
             MetricRegistry metrics,
             int maxAnswerBytes) {
-        this(client, new StandardBackendProtocol(), events, configuration, log, metrics, maxAnswerBytes);
+        this(
+                client,
+                new StandardBackendProtocol(),
+                events,
+                new CurrentState(configuration, id -> false),
+                log,
+                metrics,
+                maxAnswerBytes);
     }
 
     /**
--- a/node/src/test/java/org/fuchsiadeck/node/backend/AttemptTest.java
+++ b/node/src/test/java/org/fuchsiadeck/node/backend/AttemptTest.java
@@ -47,7 +47,7 @@
             Exchange exchange = exchange("r1", false);
             Dispatch dispatch = new Dispatch(exchange.id(), 1, server.as(Backend.Kind.APPLICATION), 0, 1_000);
             AttemptResources resources = new AttemptResources(
-                    new StandardBackendProtocol(), events::add, log -> {}, metrics, MAX_ANSWER_BYTES);
+                    new StandardBackendProtocol(), events::add, log -> {}, metrics, MAX_ANSWER_BYTES, id -> false);
             Attempt attempt = new Attempt(
                     exchange,
                     dispatch,
@@ -68,6 +68,27 @@
         }
     }
 
+    /** A node sent requests to a server of which it had learned, while it connected, that it had left. */
+    @Test
+    void writesNothingToAServerThatLeftWhileTheNodeConnected() throws Exception {
+        backendClient = new BackendClient(
+                client,
+                new StandardBackendProtocol(),
+                events::add,
+                new BackendClient.CurrentState(() -> TestNode.CONFIGURATION, id -> true),
+                log -> {},
+                metrics,
+                MAX_ANSWER_BYTES);
+        try (FakeServer server = new FakeServer((m, s) -> FakeServer.plain(m, s, 200, "{}"))) {
+            dispatch(exchange("r1", false), 1, server, 0);
+            AttemptFailed failed = await(AttemptFailed.class);
+            assertThat(failed.failure().step()).isEqualTo(Step.CONNECTING);
+            assertThat(failed.failure().kind()).isEqualTo(Kind.UNREACHABLE);
+            Await.until("the connection is closed", server::allClosed);
+            assertThat(server.received).isEmpty();
+        }
+    }
+
     @Test
     void closesTheConnectionOfACancelledAttemptAndReportsItOnce() throws Exception {
         try (FakeServer server = new FakeServer((m, s) -> s.getInputStream().read())) {
