Hold all nodes together to the limit that a backend server names

A server that had named 1.2 requests a second got 19 in 4 s from nodes that it had told (12 allowed). The field was unknown: it was passed on to callers, and nothing kept to it.

Each node's own share would not do: 1.2 a second over nine nodes is one request a node in 7.5 s, and over 370 one in five minutes, whether or not the node has one to send. The node that ranks first for a limited server distributes its rate: it sends from a budget, and grants sends to nodes at which requests wait. A successor waits until the grants of its predecessor have ended; a home that reaches a part of the fleet distributes that part of the rate. The limit is told to all nodes at once, and ends with a newer answer without it. If all servers have limits and none leaves room before the deadline, a request is refused at once.

--- a/core/src/main/java/org/fuchsiadeck/core/EventCode.java
+++ b/core/src/main/java/org/fuchsiadeck/core/EventCode.java
@@ -36,7 +36,11 @@
     BACKENDS_LISTED(2106, Level.INFO, "Several backend servers' entries are new or have changed."),
     BACKENDS_REMOVED(2107, Level.INFO, "Several backend servers' entries are gone, and the servers get no new work."),
     BACKEND_PAUSED(2108, Level.INFO, "A backend server asked to be sent no requests for a while."),
-    BACKEND_BAD_PAUSE(2109, Level.WARN, "A backend server asked for a pause that could not be parsed; it is ignored."),
+    BACKEND_BAD_PAUSE(
+            2109, Level.WARN, "A backend server sent a pause or a limit that could not be parsed; it is ignored."),
+    BACKEND_LIMITED(
+            2110, Level.INFO, "A backend server accepts only so many requests per second from all nodes together."),
+    BACKEND_LIMIT_ENDED(2111, Level.INFO, "A backend server no longer limits the rate of its requests."),
     PROMPT_PART_QUARANTINED(
             2201, Level.WARN, "Requests with prompt parts under which backend servers crash are rejected for a while."),
     PROMPT_PART_TRIED(2202, Level.INFO, "A request with quarantined prompt parts is sent to a server as a trial."),
--- a/core/src/main/java/org/fuchsiadeck/core/model/BackendReport.java
+++ b/core/src/main/java/org/fuchsiadeck/core/model/BackendReport.java
@@ -1,6 +1,7 @@
 package org.fuchsiadeck.core.model;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 import static java.util.Objects.requireNonNull;
 
@@ -10,14 +11,27 @@
  * @param load its current load; empty if not reported
  * @param leaving whether the server reports that it is leaving
  * @param pauseMs how long it asks this node to send no requests, in milliseconds; 0 if it does not ask for a pause
+ * @param limitPerSecond the requests per second that it accepts from all nodes together; empty if it names no limit
  */
-public record BackendReport(Optional<Load> load, boolean leaving, long pauseMs) {
+public record BackendReport(Optional<Load> load, boolean leaving, long pauseMs, OptionalDouble limitPerSecond) {
     /** Longest pause that a server can ask for, in milliseconds. After ten minutes it has restarted or left. */
     public static final long MAX_PAUSE_MS = 600_000;
 
     public BackendReport {
         requireNonNull(load, "load");
         Checks.inRange(pauseMs, 0, MAX_PAUSE_MS, "pauseMs");
+        limitPerSecond.ifPresent(l -> Checks.finiteNotNegative(l, "limitPerSecond"));
+    }
+
+    /**
+     * Creates the report of a server that names no limit.
+     *
+     * @param load its current load; empty if not reported
+     * @param leaving whether the server reports that it is leaving
+     * @param pauseMs how long it asks this node to send no requests, in milliseconds
+     */
+    public BackendReport(Optional<Load> load, boolean leaving, long pauseMs) {
+        this(load, leaving, pauseMs, OptionalDouble.empty());
     }
 
     /**
--- a/core/src/main/java/org/fuchsiadeck/core/model/Checks.java
+++ b/core/src/main/java/org/fuchsiadeck/core/model/Checks.java
@@ -21,6 +21,21 @@
         return value;
     }
 
+    /**
+     * Checks that a number is finite and not negative.
+     *
+     * @param value the number
+     * @param name the name of the value, for the message
+     * @return the number
+     * @throws IllegalArgumentException if the number is infinite, negative or not a number
+     */
+    public static double finiteNotNegative(double value, String name) {
+        if (!Double.isFinite(value) || value < 0) {
+            throw new IllegalArgumentException(name + " must be a finite number from 0, was " + value);
+        }
+        return value;
+    }
+
     /**
      * Checks that a number is in a range.
      *
--- a/core/src/main/java/org/fuchsiadeck/core/model/Peers.java
+++ b/core/src/main/java/org/fuchsiadeck/core/model/Peers.java
@@ -67,6 +67,28 @@
         return rank;
     }
 
+    /**
+     * Returns the node that ranks first for a key among these nodes and one more. Nodes that know the same nodes find the same
+     * one.
+     *
+     * @param key the key
+     * @param self the other node
+     * @return the first node
+     */
+    public NodeId firstFor(String key, NodeId self) {
+        long keyHash = Rendezvous.hash(key);
+        NodeId first = self;
+        long highest = Rendezvous.score(keyHash, Rendezvous.hash(self.value()));
+        for (NodeId id : alive.keySet()) {
+            long score = Rendezvous.score(keyHash, hashes.get(id));
+            if (Long.compareUnsigned(score, highest) > 0) {
+                first = id;
+                highest = score;
+            }
+        }
+        return first;
+    }
+
     /**
      * Returns the parent of a node in a tree of the nodes of its availability zone, in which the nodes follow each other by
      * their rank.
--- a/core/src/main/java/org/fuchsiadeck/core/request/AttemptAccounting.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/AttemptAccounting.java
@@ -2,6 +2,8 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.function.UnaryOperator;
 
 import org.fuchsiadeck.core.EventCode;
@@ -108,8 +110,15 @@
         reduction.markServiceReady(backend.service());
     }
 
-    /** Applies the load, departure and pause that a server reports about itself. */
-    static void applyReport(RequestReduction reduction, Backend backend, BackendReport report) {
+    /** Applies what an answer says of the server: its load, departure, pause and limit. */
+    static void applyReport(
+            RequestReduction reduction, Attempt attempt, Optional<BackendReport> report, boolean success) {
+        report.ifPresent(r -> applyReport(reduction, attempt.backend(), r));
+        OptionalDouble limit = report.map(BackendReport::limitPerSecond).orElse(OptionalDouble.empty());
+        ServerLimits.onAnswer(reduction, attempt, limit, success);
+    }
+
+    private static void applyReport(RequestReduction reduction, Backend backend, BackendReport report) {
         boolean knownToLeave = isLeaving(reduction, backend);
         long now = reduction.nowMs();
         reduction.updateFleet(f -> f.withReport(backend.id(), report, now));
--- a/core/src/main/java/org/fuchsiadeck/core/request/AttemptEventHandler.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/AttemptEventHandler.java
@@ -35,7 +35,7 @@
             return;
         }
         Attempt attempt = request.attempt().get();
-        event.report().ifPresent(r -> AttemptAccounting.applyReport(reduction, attempt.backend(), r));
+        AttemptAccounting.applyReport(reduction, attempt, event.report(), true);
         AttemptAccounting.recordPromptRead(reduction, request);
         AttemptAccounting.clearSuspicion(reduction, attempt.backend());
         PromptChecks.recordServerAnswer(reduction, attempt);
@@ -75,7 +75,7 @@
             return;
         }
         Attempt attempt = request.attempt().get();
-        event.report().ifPresent(r -> AttemptAccounting.applyReport(reduction, attempt.backend(), r));
+        AttemptAccounting.applyReport(reduction, attempt, event.report(), event.status() < MIN_ERROR_STATUS);
         AttemptAccounting.recordPromptRead(reduction, request);
         ActiveRequest begun = markBegun(reduction, request, attempt.dispatchedMs());
         ActiveRequest completed =
@@ -110,7 +110,7 @@
             return;
         }
         Attempt attempt = request.attempt().get();
-        event.report().ifPresent(r -> AttemptAccounting.applyReport(reduction, attempt.backend(), r));
+        AttemptAccounting.applyReport(reduction, attempt, event.report(), false);
         boolean begun = probablyBegun(request, event.failure());
         ActiveRequest next = begun ? markBegun(reduction, request, attempt.dispatchedMs()) : request;
         Retries.attemptFailed(reduction, next, event.failure());
--- a/core/src/main/java/org/fuchsiadeck/core/request/Dispatcher.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Dispatcher.java
@@ -88,7 +88,8 @@
                         s -> s.plusAttempts(1)
                                 .plusUnread(unread)
                                 .with(s.health().withDispatch(now)))
-                .sent(prefixHashes(request), backend.id()));
+                .sent(prefixHashes(request), backend.id())
+                .withLimitedSend(backend.id(), now));
         reduction.updateLoad(request.route().service(), ServiceLoad::withDispatch);
         reduction.updateCounters(c -> c.plusDispatch(cause));
         if (number == 1) {
--- a/core/src/main/java/org/fuchsiadeck/core/request/RequestQueues.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/RequestQueues.java
@@ -58,6 +58,14 @@
                     new Refusal("backends_paused", reduction.withJitter(found.pausedUntilMs() - reduction.nowMs())));
             return;
         }
+        long sendMs = ServerLimits.earliestSendMs(reduction, request, queue.countAhead(ticket));
+        if (sendMs > request.deadlineMs()) {
+            RequestFinisher.refuse(
+                    reduction,
+                    request,
+                    new Refusal("backends_limited", reduction.withJitter(sendMs - reduction.nowMs())));
+            return;
+        }
         long waitMs = predictedWaitMs(reduction, service, queue.countAhead(ticket));
         if (Math.max(reduction.nowMs(), found.pausedUntilMs()) + waitMs > request.deadlineMs()) {
             RequestFinisher.refuse(reduction, request, new Refusal("wait_too_long", retryAfterMs(reduction, service)));
@@ -113,6 +121,8 @@
                 blocked.add(requirements);
             }
         }
+        ServerLimits.onRequestsWaiting(
+                reduction, service, queue(reduction, service).size());
     }
 
     /** Dispatches a queued request, or ends it if no server is left. Returns whether it left the queue. */
@@ -146,6 +156,8 @@
                 reduction.state().withQueue(service, queue(reduction, service).with(ticket)));
         reduction.put(request.queued(ticket));
         reduction.recordDecision(request, Decision.Kind.QUEUED, Optional.empty(), "all servers are full");
+        ServerLimits.onRequestsWaiting(
+                reduction, service, queue(reduction, service).size());
     }
 
     private static FairQueue queue(RequestReduction reduction, String service) {
--- a/core/src/main/java/org/fuchsiadeck/core/request/RequestReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/RequestReducer.java
@@ -10,6 +10,7 @@
 import org.fuchsiadeck.core.Reducer;
 import org.fuchsiadeck.core.Step;
 import org.fuchsiadeck.core.View;
+import org.fuchsiadeck.core.membership.MembershipEvent;
 import org.fuchsiadeck.core.model.Backend;
 import org.fuchsiadeck.core.model.BackendId;
 import org.fuchsiadeck.core.platform.PlatformEvent;
@@ -57,6 +58,10 @@
             PromptChecks.onQuarantineStarted(reduction, started.quarantine());
         } else if (event instanceof PeerReceived received && received.message() instanceof LeavingBackend departing) {
             DepartureGossip.onLeavingBackend(reduction, departing);
+        } else if (event instanceof PeerReceived received && received.message() instanceof ServerLimitMessage message) {
+            ServerLimits.onMessage(reduction, received.from(), message);
+        } else if (event instanceof MembershipEvent.Changed) {
+            ServerLimits.onPeersChanged(reduction);
         } else {
             return Step.of(state);
         }
@@ -141,6 +146,8 @@
             DrainHandler.onDrainDue(reduction);
         } else if (event instanceof RequestReducerEvent.Drained) {
             DrainHandler.onDrained(reduction);
+        } else if (event instanceof RequestReducerEvent.LimitReviewDue due) {
+            ServerLimits.onReviewDue(reduction, due.backend());
         } else if (event instanceof RequestReducerEvent.ServerDue due) {
             Option<BackendStatus> server = reduction.state().fleet().servers().get(due.backend());
             server.forEach(s -> reduction.markServiceReady(s.backend().service()));
--- a/core/src/main/java/org/fuchsiadeck/core/request/RequestReducerEvent.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/RequestReducerEvent.java
@@ -8,12 +8,20 @@
  */
 public sealed interface RequestReducerEvent extends Event {
     /**
-     * A suspected backend server may be tried again, or the pause that a server asked for is over.
+     * A suspected backend server may be tried again, the pause that a server asked for is over, or its limit may allow a
+     * request.
      *
      * @param backend the server
      */
     record ServerDue(BackendId backend) implements RequestReducerEvent {}
 
+    /**
+     * The limit of a backend server is due to be reviewed.
+     *
+     * @param backend the server
+     */
+    record LimitReviewDue(BackendId backend) implements RequestReducerEvent {}
+
     /** The notice period of a graceful shutdown is nearly over. */
     record DrainDue() implements RequestReducerEvent {}
 
--- a/core/src/main/java/org/fuchsiadeck/core/request/RequestReduction.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/RequestReduction.java
@@ -25,6 +25,7 @@
 import org.fuchsiadeck.core.model.RequestId;
 import org.fuchsiadeck.core.routing.Fleet;
 import org.fuchsiadeck.core.routing.Router;
+import org.fuchsiadeck.core.routing.ServerLimit;
 import org.fuchsiadeck.core.routing.SplitMix;
 
 /**
@@ -160,6 +161,11 @@
     private void putServer(Map<String, Object> fields, Backend backend) {
         fields.put("server", backend.id());
         fields.put("version", backend.version());
+        state.fleet()
+                .limits()
+                .get(backend.id())
+                .filter(ServerLimit::active)
+                .forEach(l -> fields.put("limit_per_s", l.perSecond()));
         fields.put("list_age_ms", view.work().serverListAgeMs(nowMs()));
         fields.put("busy_elsewhere", view.usage().inFlightElsewhere(nowMs(), backend.id()));
         state.fleet().servers().get(backend.id()).forEach(s -> fields.put("busy_here", s.inFlight()));
--- a/core/src/main/java/org/fuchsiadeck/core/routing/Fleet.java
+++ b/core/src/main/java/org/fuchsiadeck/core/routing/Fleet.java
@@ -25,16 +25,18 @@
  * @param pools a cache of the servers that meet a need; valid until the list or the peers change
  * @param peers the other nodes for which the pools were computed
  * @param sent the prompt prefixes that this node sent to each server
+ * @param limits the rates of requests that servers accept from all nodes together
  */
 public record Fleet(
         Map<BackendId, BackendStatus> servers,
         Map<BackendId, Departure> departures,
         Map<Need, Pool> pools,
         Peers peers,
-        SentPrefixes sent) {
+        SentPrefixes sent,
+        Map<BackendId, ServerLimit> limits) {
     /** The fleet of a node that does not know any server yet. */
-    public static final Fleet EMPTY =
-            new Fleet(HashMap.empty(), HashMap.empty(), HashMap.empty(), Peers.NONE, SentPrefixes.EMPTY);
+    public static final Fleet EMPTY = new Fleet(
+            HashMap.empty(), HashMap.empty(), HashMap.empty(), Peers.NONE, SentPrefixes.EMPTY, HashMap.empty());
 
     /** Maximum number of cached pools. They must be bounded because callers can name any model. */
     private static final int MAX_POOLS = 256;
@@ -65,7 +67,8 @@
                 leaving = leaving.put(backend.id(), Departure.assumed(nowMs));
             }
         }
-        return new Fleet(next, leaving, HashMap.empty(), peers, sent);
+        Map<BackendId, ServerLimit> current = limits.filterKeys(id -> ids.contains(id) || !servers.containsKey(id));
+        return new Fleet(next, leaving, HashMap.empty(), peers, sent, current);
     }
 
     /**
@@ -119,7 +122,7 @@
                 || server.get().inFlight() > 0
                 || server.get().pausedUntilMs() > Long.MIN_VALUE;
         Map<BackendId, BackendStatus> next = retained ? servers.put(id, server.get()) : servers.remove(id);
-        return new Fleet(next, departures, pools, peers, sent);
+        return new Fleet(next, departures, pools, peers, sent, limits);
     }
 
     /**
@@ -133,7 +136,7 @@
         if (prefixHashes.isEmpty()) {
             return this;
         }
-        return new Fleet(servers, departures, pools, peers, sent.withSent(prefixHashes, id));
+        return new Fleet(servers, departures, pools, peers, sent.withSent(prefixHashes, id), limits);
     }
 
     /**
@@ -162,7 +165,7 @@
         for (Array<Backend> sameVersion : matching.groupBy(Backend::version).values()) {
             assigned = assigned.appendAll(Subset.of(sameVersion, self.id(), others));
         }
-        return new Fleet(servers, departures, retained.put(need, Pool.of(assigned)), others, sent);
+        return new Fleet(servers, departures, retained.put(need, Pool.of(assigned)), others, sent, limits);
     }
 
     /**
@@ -203,7 +206,67 @@
         return departures.containsKey(id) ? this : withDeparture(id, Departure.assumed(nowMs));
     }
 
+    /**
+     * Applies that a server named a limit, or that its limit ended.
+     *
+     * @param id the server
+     * @param perSecond the requests per second that it accepts
+     * @param active whether the limit is in force
+     * @param atMs when the server's answer showed it, in milliseconds
+     * @return the updated fleet
+     */
+    public Fleet withLimit(BackendId id, double perSecond, boolean active, long atMs) {
+        ServerLimit limit = limits.get(id)
+                .map(l -> l.changed(perSecond, active, atMs))
+                .getOrElse(() -> ServerLimit.named(perSecond, atMs));
+        return withLimits(limits.put(id, limit));
+    }
+
+    /**
+     * Updates the limit of a server.
+     *
+     * @param id the server
+     * @param change computes the new limit
+     * @return the updated fleet; the same if no limit is known
+     */
+    public Fleet updateLimit(BackendId id, UnaryOperator<ServerLimit> change) {
+        return limits.get(id)
+                .map(change)
+                .map(l -> withLimits(limits.put(id, l)))
+                .getOrElse(this);
+    }
+
+    /**
+     * Counts a request that is sent to a server against its limit.
+     *
+     * @param id the server
+     * @param nowMs the time, in milliseconds
+     * @return the updated fleet; the same if no limit is known
+     */
+    public Fleet withLimitedSend(BackendId id, long nowMs) {
+        return updateLimit(id, l -> l.withSend(nowMs));
+    }
+
+    /**
+     * Returns the limits of the servers that meet a need, if all of them have limits.
+     *
+     * @param need the need, of which there is a pool
+     * @return the limits; empty if a server has none
+     */
+    public Array<ServerLimit> commonLimits(Need need) {
+        Array<BackendId> usable = pools.get(need)
+                .map(Pool::all)
+                .getOrElse(Array.empty())
+                .filter(id -> servers.get(id).exists(BackendStatus::listed) && !departures.containsKey(id));
+        Array<ServerLimit> found = usable.flatMap(limits::get).filter(ServerLimit::active);
+        return found.size() == usable.size() ? found : Array.empty();
+    }
+
+    private Fleet withLimits(Map<BackendId, ServerLimit> next) {
+        return new Fleet(servers, departures, pools, peers, sent, next);
+    }
+
     private Fleet withDeparture(BackendId id, Departure departure) {
-        return new Fleet(servers, departures.put(id, departure), pools, peers, sent);
+        return new Fleet(servers, departures.put(id, departure), pools, peers, sent, limits);
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/routing/PlacementFinder.java
+++ b/core/src/main/java/org/fuchsiadeck/core/routing/PlacementFinder.java
@@ -23,7 +23,7 @@
     public enum Availability {
         /** A server was found. */
         OPEN,
-        /** All live servers are at their concurrency limit or paused. */
+        /** All live servers are at their concurrency limit or their rate limit, or paused. */
         FULL,
         /** All listed servers that are not leaving are suspected. */
         SUSPECTED,
@@ -135,7 +135,9 @@
     }
 
     private boolean hasCapacity(BackendStatus server, RoutingContext context) {
-        return context.nowMs() >= server.pausedUntilMs()
+        boolean limitAllows = fleet.limits().get(server.backend().id()).forAll(l -> l.allowsSend(context.nowMs()));
+        return limitAllows
+                && context.nowMs() >= server.pausedUntilMs()
                 && server.inFlight() < server.limit().maxInFlight(maxConcurrency.applyAsInt(server.backend()));
     }
 
--- a/core/src/test/java/org/fuchsiadeck/core/scale/SimulatedFleet.java
+++ b/core/src/test/java/org/fuchsiadeck/core/scale/SimulatedFleet.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BiConsumer;
 
 import io.vavr.control.Either;
 import org.fuchsiadeck.core.Effect;
@@ -34,6 +35,7 @@
 import org.fuchsiadeck.core.model.TeamId;
 import org.fuchsiadeck.core.model.Zone;
 import org.fuchsiadeck.core.platform.PlatformEffect;
+import org.fuchsiadeck.core.request.RequestEffect;
 import org.fuchsiadeck.core.rollout.RolloutOrder;
 import org.fuchsiadeck.core.routing.Router;
 import org.fuchsiadeck.core.share.ShareRules;
@@ -63,6 +65,9 @@
     final SimulatedStore store = new SimulatedStore();
     long nowMs = 1_000;
 
+    /** Runs the attempts of all nodes. */
+    BiConsumer<String, RequestEffect.Dispatch> servers = (node, dispatch) -> {};
+
     private static final ShareRules SHARE_RULES = new ShareRules(8_000, 0.1, 190_000, 10_000, 0.2, 230, 5_000);
     private static final DutyRules DUTY_RULES = new DutyRules(3_000, 5_000, 10_000);
     private static final long WALL_MS = 1_700_000_000_000L;
@@ -117,7 +122,11 @@
 
     /** Activates a configuration that contains only a team on all nodes. */
     void configure(Team team) {
-        Configuration config = new Configuration(1, Configuration.NONE.defaults(), List.of(), List.of(), List.of(team));
+        configure(new Configuration(1, Configuration.NONE.defaults(), List.of(), List.of(), List.of(team)));
+    }
+
+    /** Activates a configuration on all nodes. */
+    void configure(Configuration config) {
         nodes.keySet().forEach(id -> post(id, 0, new ConfigEvent.Parsed(config, "", "operator")));
     }
 
@@ -175,6 +184,8 @@
         } else if (effect instanceof PlatformEffect call) {
             calls.merge(call.getClass().getSimpleName() + " " + call.tag().replaceAll("[0-9]+", ""), 1, Integer::sum);
             store.call(nowMs, id, call, event -> post(id, 4 + random.nextInt(3), event));
+        } else if (effect instanceof RequestEffect.Dispatch dispatch) {
+            servers.accept(id, dispatch);
         } else if (effect instanceof DutyEffect.ReportUsage report) {
             reportedUsage.putIfAbsent(report.window(), report.counts());
         } else if (effect instanceof Effect.Log log) {
--- a/node/src/main/java/org/fuchsiadeck/node/Node.java
+++ b/node/src/main/java/org/fuchsiadeck/node/Node.java
@@ -151,6 +151,9 @@
         metrics.registerGauge("front.connections", callers::connections);
         metrics.registerGauge(
                 "servers.list_age_ms", () -> loop.state().directory().history().ageMs(loop.nowMs()));
+        metrics.registerGauge(
+                "servers.limited",
+                () -> loop.state().requests().fleet().limits().count(l -> l._2.active()));
         loop.start();
         loop.post(new LifecycleEvent.Started());
         loop.post(new MembershipEvent.Seeded(settings.peerSeeds()));
--- a/node/src/main/java/org/fuchsiadeck/node/PeerPart.java
+++ b/node/src/main/java/org/fuchsiadeck/node/PeerPart.java
@@ -8,6 +8,7 @@
 import org.fuchsiadeck.node.config.ConfigCodecs;
 import org.fuchsiadeck.node.peer.ClaimCodecs;
 import org.fuchsiadeck.node.peer.DepartureCodecs;
+import org.fuchsiadeck.node.peer.LimitCodecs;
 import org.fuchsiadeck.node.peer.MembershipCodecs;
 import org.fuchsiadeck.node.peer.PeerCodecs;
 import org.fuchsiadeck.node.peer.PeerLink;
@@ -30,6 +31,7 @@
                 ConfigCodecs.all(),
                 RolloutCodecs.all(),
                 DepartureCodecs.all(),
+                LimitCodecs.all(),
                 ShareCodecs.all(),
                 QuarantineCodecs.all()));
         PeerLink link = node.closer()
--- a/node/src/test/java/org/fuchsiadeck/node/peer/PeerCodecsTest.java
+++ b/node/src/test/java/org/fuchsiadeck/node/peer/PeerCodecsTest.java
@@ -19,6 +19,7 @@
 import org.fuchsiadeck.core.model.Zone;
 import org.fuchsiadeck.core.quarantine.QuarantineNews;
 import org.fuchsiadeck.core.request.LeavingBackend;
+import org.fuchsiadeck.core.request.ServerLimitMessage;
 import org.fuchsiadeck.node.testing.WireCopy;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -83,6 +84,18 @@
         assertThat(WireCopy.of(DepartureCodecs.all(), answer)).isEqualTo(answer);
     }
 
+    @Test
+    void readsBackLimitsOfBackendServers() throws InvalidProtocolBufferException {
+        BackendId id = new BackendId("engine-1");
+        for (ServerLimitMessage message : List.of(
+                new ServerLimitMessage.Changed(id, 1.2, true, 30),
+                new ServerLimitMessage.Changed(id, 0, false, 0),
+                new ServerLimitMessage.Query(id, 1.2, 40, 3),
+                new ServerLimitMessage.Grant(id, 0, 700))) {
+            assertThat(WireCopy.of(LimitCodecs.all(), message)).isEqualTo(message);
+        }
+    }
+
     @Test
     void readsBackLostAndAnsweredPrompts() throws InvalidProtocolBufferException {
         QuarantineNews.Loss loss = new QuarantineNews.Loss(
