Separate the exchange of departures from the directory's reducer

What nodes tell each other of departed servers is in DepartureExchange; nothing else changes, DirectoryReducerTest and DepartureHistoryTest pass as before.

--- a/core/src/main/java/org/fuchsiadeck/core/directory/DirectoryReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/directory/DirectoryReducer.java
@@ -9,7 +9,6 @@
 
 import io.vavr.collection.HashMap;
 import io.vavr.collection.Map;
-import io.vavr.collection.Set;
 import io.vavr.control.Either;
 import io.vavr.control.Try;
 import org.fuchsiadeck.core.Effect;
@@ -69,7 +68,7 @@
      * Wait of the servers' watch on a node that polls often. A leaving server must get no new requests after 2 s, even if
      * the watch's connection is broken: the wait, the call's time-out, a tick and the next call fit into that time.
      */
-    private static final long SERVERS_WAIT_MS = 1_000;
+    static final long SERVERS_WAIT_MS = 1_000;
 
     /**
      * Age of the knowledge of departures from which a node calls the service itself. With a tick and a call it stays below
@@ -118,7 +117,7 @@
         }
         if (event instanceof PeerReceived received && received.message() instanceof DirectoryMessage message) {
             return message instanceof DirectoryMessage.Query query
-                    ? onQuery(state, view, received.from(), query)
+                    ? DepartureExchange.onQuery(state, view, received.from(), query)
                     : onPeerDepartures(state, view, (DirectoryMessage.Departures) message);
         }
         return Step.of(state);
@@ -169,13 +168,13 @@
             next = next.with(
                             next.decoded().removeAll(expired.keySet()),
                             next.held().removeAll(expired.keySet()))
-                    .with(next.history().withDeparted(removals(expired.keySet(), next)));
+                    .with(next.history().withDeparted(DepartureExchange.removals(expired.keySet(), next)));
             expired.keySet()
                     .forEach(k -> out.add(
                             new Effect.Log(EventCode.BACKEND_REMOVED, k + " did not come back after the outage")));
             out.add(new Effect.Raise(toListed(next)));
         }
-        next = queryPeer(next, view, out);
+        next = DepartureExchange.queryPeer(next, view, out);
         boolean pollsOften = next.servers().waitMs() == SERVERS_WAIT_MS;
         boolean failing = next.servers().failures() > 0;
         long due = pollsOften || failing || starting ? now + FREQUENT_TICK_MS : CallSchedule.nextTickMs(now);
@@ -243,9 +242,9 @@
             next = decodeServers(next, state.servers().items(), view, out);
         }
         if (answered && next.servers().position().isPresent()) {
-            next = withAnsweredHistory(state, next, now);
+            next = DepartureExchange.withAnsweredHistory(state, next, now);
         }
-        notifyPeers(state.history(), next.history(), view, out);
+        DepartureExchange.notifyPeers(state.history(), next.history(), view, out);
         if (servers.changed() || nodes.changed()) {
             out.add(new Effect.Raise(toListed(next)));
         }
@@ -260,31 +259,6 @@
                 : new WatchedKeys.Update(servers, false, List.of());
     }
 
-    /** Asks a peer for departures. A node that polls the service often asks only once its own calls are not answered. */
-    private static DirectoryState queryPeer(DirectoryState state, View view, List<Effect> out) {
-        boolean pollsOften = state.servers().waitMs() == SERVERS_WAIT_MS;
-        long minAgeMs = pollsOften ? SERVERS_WAIT_MS + DepartureQueries.INTERVAL_MS : DepartureQueries.INTERVAL_MS;
-        if (!state.history().isStarted() || state.history().ageMs(view.nowMs()) < minAgeMs) {
-            return state;
-        }
-        Optional<DepartureQueries.Update> query = state.queries().next(view.self(), view.peers(), view.nowMs());
-        if (query.isEmpty()) {
-            return state;
-        }
-        long number = query.get().next().number();
-        long revision = state.history().revision();
-        out.add(new Effect.Send(query.get().peer(), new DirectoryMessage.Query(number, revision)));
-        return state.with(query.get().next());
-    }
-
-    private static Step<DirectoryState> onQuery(
-            DirectoryState state, View view, NodeId from, DirectoryMessage.Query query) {
-        return state.history().isStarted()
-                ? new Step<>(
-                        state, List.of(new Effect.Send(from, state.history().answer(query, view.nowMs()))))
-                : Step.of(state);
-    }
-
     private Step<DirectoryState> onPeerDepartures(
             DirectoryState state, View view, DirectoryMessage.Departures message) {
         boolean awaited = message.number() == state.queries().number();
@@ -298,64 +272,11 @@
         if (!history.since(state.history()).isEmpty()) {
             next = decodeServers(next, state.servers().items(), view, out);
             out.add(new Effect.Raise(toListed(next)));
-            notifyPeers(state.history(), history, view, out);
+            DepartureExchange.notifyPeers(state.history(), history, view, out);
         }
         return new Step<>(next, out);
     }
 
-    /**
-     * Notifies some peers of removals that this node has just learned of. Servers that announce their leaving are made known
-     * by {@link org.fuchsiadeck.core.request.LeavingBackend}.
-     */
-    private static void notifyPeers(DepartureHistory before, DepartureHistory after, View view, List<Effect> out) {
-        List<DirectoryMessage.DepartedBackend> added = after.since(before);
-        if (added.stream().noneMatch(DirectoryMessage.DepartedBackend::removed)) {
-            return;
-        }
-        DirectoryMessage.Departures message = new DirectoryMessage.Departures(
-                DirectoryMessage.Departures.UNASKED,
-                Math.max(before.revision(), after.completeAfter()),
-                after.revision(),
-                after.ageMs(view.nowMs()),
-                added);
-        String key = view.self().id() + "/removed/" + added.get(0).key();
-        for (NodeId peer : view.peers().gossipTargets(key)) {
-            out.add(new Effect.Send(peer, message));
-        }
-    }
-
-    /**
-     * Adds what an answer of the service shows. While missing servers may still register again, the history does not move
-     * on, since peers would take them for departed.
-     */
-    private static DirectoryState withAnsweredHistory(DirectoryState before, DirectoryState next, long nowMs) {
-        long revision = next.servers().position().getAsLong();
-        if (!before.servers().known()) {
-            return next.with(next.history().startedAt(revision));
-        }
-        List<DirectoryMessage.DepartedBackend> departed = new ArrayList<>(
-                removals(before.decoded().keySet().filter(k -> !next.decoded().containsKey(k)), next));
-        next.decoded().forEach((key, server) -> {
-            boolean known = before.decoded().get(key).exists(s -> s.revision() == server.revision());
-            if (server.backend().leaving() && !known) {
-                departed.add(new DirectoryMessage.DepartedBackend(key, server.revision(), false));
-            }
-        });
-        DepartureHistory history = next.held().isEmpty()
-                ? next.history().withAnswer(departed, revision, nowMs)
-                : next.history().withDeparted(departed);
-        return next.with(history);
-    }
-
-    private static List<DirectoryMessage.DepartedBackend> removals(Set<String> keys, DirectoryState state) {
-        long revision = Math.max(
-                1,
-                Math.max(state.servers().position().orElse(0), state.history().revision()));
-        return keys.toJavaList().stream()
-                .map(k -> new DirectoryMessage.DepartedBackend(k, revision, true))
-                .toList();
-    }
-
     private DirectoryState decodeServers(
             DirectoryState state, Map<String, PlatformEvent.Entry> before, View view, List<Effect> out) {
         Map<String, DirectoryState.RegisteredBackend> next = HashMap.empty();
