Keep a server that registered again before a peer's revision

A node that had heard of a newer revision from a peer recorded a removal as of that revision, not as of its own read. A server whose next registration lay between the two was ignored from then on, and its peers were told so: its callers' requests would have gone to fewer servers, for good.

The revision of a removal is now that of the node's own read. The list's first answer also counts if it comes in the node's first millisecond. DirectoryReducerTest.listsAServerThatRegisteredAgainBeforeThePeersRevision failed before.

--- a/core/src/main/java/org/fuchsiadeck/core/directory/DepartureExchange.java
+++ b/core/src/main/java/org/fuchsiadeck/core/directory/DepartureExchange.java
@@ -87,11 +87,10 @@
         return next.with(history);
     }
 
-    /** Returns the removal of servers as of the newest revision that this node has read. */
+    /** Returns the removal of servers as of this node's own reads, since they may register again after it. */
     static List<DirectoryMessage.DepartedBackend> removals(Set<String> keys, DirectoryState state) {
-        long revision = Math.max(
-                1,
-                Math.max(state.servers().position().orElse(0), state.history().revision()));
+        long revision =
+                Math.max(1, state.servers().position().orElse(state.servers().newest()));
         return keys.toJavaList().stream()
                 .map(k -> new DirectoryMessage.DepartedBackend(k, revision, true))
                 .toList();
--- a/core/src/main/java/org/fuchsiadeck/core/directory/DirectoryReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/directory/DirectoryReducer.java
@@ -241,7 +241,8 @@
         if (servers.changed()) {
             next = decodeServers(next, state.servers().items(), view, out);
         }
-        if (answered && next.servers().position().isPresent()) {
+        boolean read = servers.next() != state.servers() && !(event instanceof PlatformEvent.CallFailed);
+        if (read && next.servers().position().isPresent()) {
             next = DepartureExchange.withAnsweredHistory(state, next, now);
         }
         DepartureExchange.notifyPeers(state.history(), next.history(), view, out);
--- a/core/src/test/java/org/fuchsiadeck/core/directory/DirectoryReducerTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/directory/DirectoryReducerTest.java
@@ -189,6 +189,18 @@
         assertThat(listedServers()).containsExactly("b");
     }
 
+    /** A peer is ahead of this node, whose watch shows the removal first and the server's next registration after it. */
+    @Test
+    void listsAServerThatRegisteredAgainBeforeThePeersRevision() {
+        apply(new PeerReceived(
+                new NodeId("n2"),
+                new DirectoryMessage.Departures(DirectoryMessage.Departures.UNASKED, 10, 20, 0, List.of())));
+        answerNextWatch(12, entry("a", null, 12));
+        assertThat(listedServers()).containsExactly("b");
+        answerNextWatch(15, entry("a", "ready", 15));
+        assertThat(listedServers()).containsExactly("a", "b");
+    }
+
     @Test
     void removesHeldServersOnceAPeerReportsThatItWasServed() {
         tickUntil(6_000);
