Tell peers of a removed server once

Each node saw a removal at a revision of its own and passed on each newer one, so that one removed server led to as many floods of messages as nodes had read it at different revisions, seven in the test.

A node now notifies its peers when it stops using the server, which it does once.

--- a/core/src/main/java/org/fuchsiadeck/core/directory/DepartureExchange.java
+++ b/core/src/main/java/org/fuchsiadeck/core/directory/DepartureExchange.java
@@ -44,21 +44,28 @@
     }
 
     /**
-     * Notifies some peers of removals that this node has just learned of. Servers that announce their leaving are made known
-     * by {@link org.fuchsiadeck.core.request.LeavingBackend}.
+     * Notifies some peers of the removed servers that this node has just stopped using, which it does once for each. Servers that
+     * announce their leaving are made known by {@link org.fuchsiadeck.core.request.LeavingBackend}.
      */
-    static void notifyPeers(DepartureHistory before, DepartureHistory after, View view, List<Effect> out) {
-        List<DirectoryMessage.DepartedBackend> added = after.since(before);
-        if (added.stream().noneMatch(DirectoryMessage.DepartedBackend::removed)) {
+    static void notifyPeers(DirectoryState before, DirectoryState after, View view, List<Effect> out) {
+        List<DirectoryMessage.DepartedBackend> removed = before.decoded()
+                .keySet()
+                .filter(k -> !after.decoded().containsKey(k))
+                .toList()
+                .flatMap(after.history().byKey()::get)
+                .filter(DirectoryMessage.DepartedBackend::removed)
+                .toJavaList();
+        if (removed.isEmpty()) {
             return;
         }
+        long revision = after.history().revision();
         DirectoryMessage.Departures message = new DirectoryMessage.Departures(
                 DirectoryMessage.Departures.UNASKED,
-                Math.max(before.revision(), after.completeAfter()),
-                after.revision(),
-                after.ageMs(view.nowMs()),
-                added);
-        String key = view.self().id() + "/removed/" + added.get(0).key();
+                revision,
+                revision,
+                after.history().ageMs(view.nowMs()),
+                removed);
+        String key = view.self().id() + "/removed/" + removed.get(0).key();
         for (NodeId peer : view.peers().gossipTargets(key)) {
             out.add(new Effect.Send(peer, message));
         }
--- a/core/src/main/java/org/fuchsiadeck/core/directory/DepartureHistory.java
+++ b/core/src/main/java/org/fuchsiadeck/core/directory/DepartureHistory.java
@@ -1,6 +1,5 @@
 package org.fuchsiadeck.core.directory;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
@@ -85,20 +84,6 @@
         return new DepartureHistory(merged.completeAfter, Math.max(revision, message.revision()), proof, merged.byKey);
     }
 
-    /** Returns the departures that are not in an earlier history. */
-    List<DepartedBackend> since(DepartureHistory earlier) {
-        if (byKey == earlier.byKey) {
-            return List.of();
-        }
-        List<DepartedBackend> added = new ArrayList<>();
-        byKey.forEach((key, departed) -> {
-            if (!earlier.byKey.get(key).contains(departed)) {
-                added.add(departed);
-            }
-        });
-        return added;
-    }
-
     /** Answers a peer's query. */
     Departures answer(DirectoryMessage.Query query, long nowMs) {
         long since = Math.min(Math.max(query.revision(), completeAfter), revision);
--- a/core/src/main/java/org/fuchsiadeck/core/directory/DirectoryReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/directory/DirectoryReducer.java
@@ -245,7 +245,7 @@
         if (read && next.servers().position().isPresent()) {
             next = DepartureExchange.withAnsweredHistory(state, next, now);
         }
-        DepartureExchange.notifyPeers(state.history(), next.history(), view, out);
+        DepartureExchange.notifyPeers(state, next, view, out);
         if (servers.changed() || nodes.changed()) {
             out.add(new Effect.Raise(toListed(next)));
         }
@@ -270,10 +270,10 @@
                 state.history().withPeerDepartures(message, state.queries().sentMs());
         DirectoryState next = state.with(history).with(state.queries().withAnswer(message.number()));
         List<Effect> out = new ArrayList<>();
-        if (!history.since(state.history()).isEmpty()) {
+        if (history.byKey() != state.history().byKey()) {
             next = decodeServers(next, state.servers().items(), view, out);
             out.add(new Effect.Raise(toListed(next)));
-            DepartureExchange.notifyPeers(state.history(), history, view, out);
+            DepartureExchange.notifyPeers(state, next, view, out);
         }
         return new Step<>(next, out);
     }
--- a/core/src/test/java/org/fuchsiadeck/core/directory/DirectoryReducerTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/directory/DirectoryReducerTest.java
@@ -63,6 +63,7 @@
     private PlatformEffect leaseCall;
     private PlatformEvent.Listed lastListed;
     private int unreadable;
+    private int notifications;
 
     private static Either<String, BackendDecoder.BackendEntry> decode(String id, String value) {
         if (!value.equals("ready") && !value.equals("leaving")) {
@@ -91,7 +92,9 @@
         Step<DirectoryState> step = reducer.reduce(state, view, event);
         state = step.state();
         for (Effect effect : step.effects()) {
-            if (effect instanceof PlatformEffect call && call.tag().startsWith("mirror/servers/")) {
+            if (effect instanceof Effect.Send send && send.message() instanceof DirectoryMessage.Departures) {
+                notifications++;
+            } else if (effect instanceof PlatformEffect call && call.tag().startsWith("mirror/servers/")) {
                 serversCall = call;
             } else if (effect instanceof PlatformEffect call && call.tag().startsWith("mirror/nodes/")) {
                 nodesCall = call;
@@ -189,6 +192,24 @@
         assertThat(listedServers()).containsExactly("b");
     }
 
+    /** Every node sees the removal at a revision of its own, and passed each of them on to its peers. */
+    @Test
+    void notifiesPeersOnceOfARemovalThatIsReportedAtSeveralRevisions() {
+        NodeId peer = new NodeId("n2");
+        peers = new Peers(new TreeMap<>(Map.of(peer, new Peers.Peer(peer, new Address("10.0.0.3", 1), new Zone("z")))));
+        answerNextWatch(12, entry("a", null, 12));
+        assertThat(notifications).isEqualTo(1);
+        for (long revision = 13; revision < 20; revision++) {
+            List<DirectoryMessage.DepartedBackend> removed =
+                    List.of(new DirectoryMessage.DepartedBackend("servers/a", revision, true));
+            apply(new PeerReceived(
+                    peer,
+                    new DirectoryMessage.Departures(
+                            DirectoryMessage.Departures.UNASKED, revision, revision, 0, removed)));
+        }
+        assertThat(notifications).isEqualTo(1);
+    }
+
     /** A peer is ahead of this node, whose watch shows the removal first and the server's next registration after it. */
     @Test
     void listsAServerThatRegisteredAgainBeforeThePeersRevision() {
