Show how old a node's configuration is

Neither a metric nor the log line of a refusal said by which revision a request was refused, or how long ago that revision was last known to be the newest, so that a late configuration and a node that did not hear of it could not be told apart. No decision uses it yet.

--- a/core/src/main/java/org/fuchsiadeck/core/config/ConfigReduction.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/ConfigReduction.java
@@ -87,6 +87,7 @@
                 state.reading(),
                 state.exchange(),
                 state.startup(),
+                state.currency(),
                 state.random(),
                 state.unready());
     }
@@ -101,6 +102,7 @@
                 state.reading(),
                 state.exchange(),
                 state.startup(),
+                state.currency(),
                 state.random(),
                 state.unready());
     }
@@ -114,6 +116,7 @@
                 reading,
                 state.exchange(),
                 state.startup(),
+                state.currency(),
                 state.random(),
                 state.unready());
     }
@@ -133,6 +136,7 @@
                 state.reading(),
                 exchange,
                 state.startup(),
+                state.currency(),
                 state.random(),
                 state.unready());
     }
@@ -146,10 +150,30 @@
                 state.reading(),
                 state.exchange(),
                 startup,
+                state.currency(),
                 state.random(),
                 unready);
     }
 
+    /** Records the newest revision that an answer of the key-value service names, and when it was asked. */
+    void recordNewest(long revision, long askedMs) {
+        setCurrency(state.currency().withAnswer(revision, askedMs));
+    }
+
+    void setCurrency(Currency currency) {
+        state = new ConfigState(
+                state.current(),
+                state.value(),
+                state.origin(),
+                state.candidate(),
+                state.reading(),
+                state.exchange(),
+                state.startup(),
+                currency,
+                state.random(),
+                state.unready());
+    }
+
     /** Records that the key-value service answered a read; a revision of 0 stands for no configuration. */
     void recordPlatformRevision(long revision) {
         setStartup(state.startup().withPlatformRevision(revision), state.unready());
@@ -171,6 +195,7 @@
                 state.reading(),
                 state.exchange(),
                 state.startup(),
+                state.currency(),
                 random,
                 state.unready());
     }
--- a/core/src/main/java/org/fuchsiadeck/core/config/ConfigState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/ConfigState.java
@@ -21,6 +21,7 @@
  * @param reading the calls to the key-value service
  * @param exchange the messages with other entry nodes
  * @param startup the answers that decide when the node may serve callers
+ * @param currency when the newest configuration was last known
  * @param random the generator of the node's random choices
  * @param unready the reasons why the node must not serve callers yet, one sentence each; empty if it is ready
  */
@@ -32,6 +33,7 @@
         ReaderState reading,
         ExchangeState exchange,
         StartupProgress startup,
+        Currency currency,
         SplitMix64 random,
         List<String> unready) {
     public ConfigState {
@@ -42,6 +44,7 @@
         requireNonNull(reading, "reading");
         requireNonNull(exchange, "exchange");
         requireNonNull(startup, "startup");
+        requireNonNull(currency, "currency");
         requireNonNull(random, "random");
         unready = List.copyOf(unready);
     }
@@ -60,6 +63,7 @@
                 new ReaderState(0, Optional.empty(), OptionalLong.empty(), 0, 0, false),
                 new ExchangeState(0, 0, 0),
                 new StartupProgress(false, 0, false, 0, Map.of(), 0),
+                Currency.NONE,
                 new SplitMix64(0),
                 List.of("no configuration is known"));
     }
--- a/core/src/main/java/org/fuchsiadeck/core/config/PlatformReader.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/PlatformReader.java
@@ -1,5 +1,6 @@
 package org.fuchsiadeck.core.config;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 
@@ -91,6 +92,9 @@
                     found.entry().map(PlatformEvent.Entry::revision).orElse(0L));
             found.entry().ifPresent(e -> ConfigReducer.parseEntryIfNewer(reduction, e));
             if (inProgress) {
+                reduction.recordNewest(
+                        newestWritten(found.entry().stream().toList()),
+                        call.get().sentMs());
                 onRead(reduction, found.serviceRevision());
             }
         } else if (event instanceof PlatformEvent.Watched watched) {
@@ -118,9 +122,19 @@
         }
         boolean endedEarly = watched.entries().isEmpty() && now - call.sentMs() < WATCH_WAIT_MS / 2;
         long pause = endedEarly ? RETRY_PAUSE_MS : 0;
+        reduction.recordNewest(newestWritten(watched.entries()), call.sentMs());
         reduction.finishCall(OptionalLong.of(watched.serviceRevision()), now + pause, 0, false);
     }
 
+    /** Returns the newest revision of the configuration among entries; 0 if there is none. A deletion does not count. */
+    private static long newestWritten(List<PlatformEvent.Entry> entries) {
+        return entries.stream()
+                .filter(e -> e.key().equals(ConfigReducer.KEY) && e.value().isPresent())
+                .mapToLong(PlatformEvent.Entry::revision)
+                .max()
+                .orElse(0);
+    }
+
     private static void logRecovery(ConfigReduction reduction) {
         if (reduction.state().reading().unavailable()) {
             reduction.log(EventCode.PLATFORM_AVAILABLE, "reading " + ConfigReducer.KEY);
--- a/node/src/main/java/org/fuchsiadeck/node/Node.java
+++ b/node/src/main/java/org/fuchsiadeck/node/Node.java
@@ -34,6 +34,7 @@
 import org.fuchsiadeck.node.exchange.ByteBudget;
 import org.fuchsiadeck.node.exchange.Exchanges;
 import org.fuchsiadeck.node.front.CallerServer;
+import org.fuchsiadeck.node.front.ConfigurationSource;
 import org.fuchsiadeck.node.front.Front;
 import org.fuchsiadeck.node.listing.BackendDirectory;
 import org.fuchsiadeck.node.listing.InstanceList;
@@ -149,6 +150,7 @@
         metrics.registerGauge("requests.streams", exchanges::streams);
         metrics.registerGauge(DumpJson.BUFFERED_BYTES, budget::held);
         metrics.registerGauge("front.connections", callers::connections);
+        metrics.registerGauge("config.age_ms", configurationSource()::ageMs);
         metrics.registerGauge(
                 "servers.list_age_ms", () -> loop.state().directory().history().ageMs(loop.nowMs()));
         metrics.registerGauge(
@@ -181,11 +183,25 @@
                 budget,
                 exchanges,
                 loop,
-                this::configuration,
+                configurationSource(),
                 log,
                 metrics);
     }
 
+    private ConfigurationSource configurationSource() {
+        return new ConfigurationSource() {
+            @Override
+            public Configuration current() {
+                return configuration();
+            }
+
+            @Override
+            public long ageMs() {
+                return loop.state().config().currency().ageMs(loop.nowMs());
+            }
+        };
+    }
+
     private Operations operations() {
         return new Operations(
                 this::unready, this::dump, metrics, this::counts, () -> requestStop(settings.drainNoticeMs()));
--- a/node/src/main/java/org/fuchsiadeck/node/front/CallerHandler.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerHandler.java
@@ -2,10 +2,8 @@
 
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
-import java.util.function.Supplier;
 
 import com.codahale.metrics.Meter;
-import org.fuchsiadeck.core.config.Configuration;
 import org.fuchsiadeck.core.config.Route;
 import org.fuchsiadeck.core.model.RequestId;
 import org.fuchsiadeck.core.request.CallerRequest;
@@ -35,7 +33,7 @@
     private final RequestIds ids;
     private final Exchanges exchanges;
     private final EventSink events;
-    private final Supplier<Configuration> configuration;
+    private final ConfigurationSource configuration;
     private final RefusalLog refusals;
     private final Meter requests;
     private final Executor pump;
@@ -104,14 +102,17 @@
         try {
             read(request, call);
         } catch (BadCallException e) {
-            refuse(call.answer(), e.refusal(), true);
+            if (!call.answer().isEnding()) {
+                refusals.note(e.refusal(), configuration);
+                call.answer().refuse(e.refusal(), true);
+            }
         }
     }
 
     private record Call(RequestId id, CallerResponse answer, CallerConnection connection) {}
 
     private void read(Request request, Call call) throws BadCallException {
-        CallerProtocol.Head head = protocol.head(request, configuration.get());
+        CallerProtocol.Head head = protocol.head(request, configuration.current());
         long limit =
                 Math.min(maxBodyBytes, head.route().map(Route::maxBodyBytes).orElse(maxBodyBytes));
         if (request.getContentLengthLong() > limit) {
--- a/node/src/main/java/org/fuchsiadeck/node/front/EarlyCalls.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/EarlyCalls.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 
 import org.fuchsiadeck.core.Effect;
 import org.fuchsiadeck.core.EventCode;
@@ -28,7 +27,7 @@
     /** More than come to a node in that time; each holds a connection and the head of a request. */
     private static final int MAX_HELD = 256;
 
-    private final Supplier<Configuration> configuration;
+    private final ConfigurationSource configuration;
     private final Executor runner;
     private final EffectHandler<Effect.Log> log;
     private final long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAX_WAIT_MS);
@@ -40,11 +39,11 @@
     /**
      * Begins to hold calls.
      *
-     * @param configuration gives the configuration in force
+     * @param configuration the configuration in force
      * @param runner runs the calls when their wait is over
      * @param log takes the outcome
      */
-    EarlyCalls(Supplier<Configuration> configuration, Executor runner, EffectHandler<Effect.Log> log) {
+    EarlyCalls(ConfigurationSource configuration, Executor runner, EffectHandler<Effect.Log> log) {
         this.configuration = configuration;
         this.runner = runner;
         this.log = log;
@@ -71,7 +70,7 @@
     }
 
     private boolean known() {
-        Configuration now = configuration.get();
+        Configuration now = configuration.current();
         return now.revision() > 0 || !now.routes().isEmpty();
     }
 
@@ -99,7 +98,7 @@
                             "requests",
                             all.size(),
                             "revision",
-                            configuration.get().revision())));
+                            configuration.current().revision())));
         }
         all.forEach(runner::execute);
     }
--- a/node/src/main/java/org/fuchsiadeck/node/front/Front.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/Front.java
@@ -1,10 +1,7 @@
 package org.fuchsiadeck.node.front;
 
-import java.util.function.Supplier;
-
 import com.codahale.metrics.MetricRegistry;
 import org.fuchsiadeck.core.Effect;
-import org.fuchsiadeck.core.config.Configuration;
 import org.fuchsiadeck.core.model.Address;
 import org.fuchsiadeck.core.model.NodeId;
 import org.fuchsiadeck.node.exchange.ByteBudget;
@@ -37,7 +34,7 @@
         ByteBudget budget,
         Exchanges exchanges,
         EventSink events,
-        Supplier<Configuration> configuration,
+        ConfigurationSource configuration,
         EffectHandler<Effect.Log> log,
         MetricRegistry metrics) {
     public Front {
