Failing test of refusals by a replaced configuration

A model of the configuration's reducers at 8, 60 and 370 nodes, with silent watches, lost and late messages, nodes without processor time, nodes that the service turns away or that are cut off, restarts and outages.

--- a/core/src/test/java/org/fuchsiadeck/core/config/ConfigCluster.java
+++ b/core/src/test/java/org/fuchsiadeck/core/config/ConfigCluster.java
@@ -3,10 +3,12 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 
@@ -47,6 +49,18 @@
     /** Whether nodes go on taking stopped ones for alive, as they do for some seconds. */
     boolean staleViews;
 
+    /** Whether the service never answers watches that are sent from now on, as over broken connections. */
+    boolean silentWatches;
+
+    /** Nodes that reach neither the service nor other nodes. */
+    final Set<NodeId> cutOff = new HashSet<>();
+
+    /** Nodes whose calls the service refuses. */
+    final Set<NodeId> turnedAway = new HashSet<>();
+
+    /** What became of the requests for which the configuration in force has no route. */
+    final List<Decision> decisions = new ArrayList<>();
+
     int platformCalls;
     long revision;
     private final ConfigReducer reducer = new ConfigReducer();
@@ -55,6 +69,7 @@
             Comparator.comparingLong(ScheduledAction::atMs).thenComparingLong(ScheduledAction::order));
     private final Map<NodeId, Peers> peers = new HashMap<>();
     private final List<PlatformEvent.Entry> history = new ArrayList<>();
+    private final TreeMap<Long, Long> publishedMs = new TreeMap<>();
     private long serviceRevision;
     private long order;
     private int started;
@@ -63,6 +78,16 @@
         random = new SplittableRandom(seed);
     }
 
+    /**
+     * The end of a request for which the configuration in force has no route.
+     *
+     * @param arrivedMs when it arrived
+     * @param decidedMs when it was decided
+     * @param refused whether it was refused for good, rather than with the advice to come back
+     * @param replacedMs for how long the configuration that decided had been replaced as the request arrived; 0 if it had not
+     */
+    record Decision(long arrivedMs, long decidedMs, boolean refused, long replacedMs) {}
+
     private record ScheduledAction(long atMs, long order, Runnable action) {}
 
     /** A node, with the newest revision that each peer reported before the node was ready. */
@@ -71,6 +96,9 @@
         ConfigState state = ConfigState.initial();
         final TreeMap<NodeId, Long> peerRevisions = new TreeMap<>();
 
+        /** The time until which the event loop handles nothing, as on a node without processor time. */
+        long stalledUntilMs;
+
         Node(Identity self) {
             this.self = self;
         }
@@ -111,6 +139,7 @@
     void publishRevision() {
         serviceRevision += 1 + random.nextInt(3);
         revision = serviceRevision;
+        publishedMs.put(revision, nowMs);
         history.add(new PlatformEvent.Entry(ConfigReducer.KEY, Optional.of("v" + revision), revision));
     }
 
@@ -137,6 +166,25 @@
         return nodes.values().stream().allMatch(n -> n.state.current().revision() == revision);
     }
 
+    /** Sends a request to a node whose configuration has no route for it. */
+    void request(NodeId id) {
+        decide(id, nowMs);
+    }
+
+    private void decide(NodeId id, long arrivedMs) {
+        Node node = nodes.get(id);
+        if (node == null || node.state.current().revision() == 0) {
+            return;
+        }
+        decisions.add(new Decision(arrivedMs, nowMs, true, replacedMs(node, arrivedMs)));
+    }
+
+    private long replacedMs(Node node, long arrivedMs) {
+        Map.Entry<Long, Long> successor =
+                publishedMs.higherEntry(node.state.current().revision());
+        return successor == null ? 0 : Math.max(0, arrivedMs - successor.getValue());
+    }
+
     private void schedule(long delayMs, Runnable action) {
         queue.add(new ScheduledAction(nowMs + delayMs, order++, action));
     }
@@ -154,6 +202,10 @@
         if (node == null) {
             return;
         }
+        if (node.stalledUntilMs > nowMs) {
+            schedule(node.stalledUntilMs - nowMs, () -> deliver(id, event));
+            return;
+        }
         boolean wasReady = node.state.unready().isEmpty();
         long before = node.state.current().revision();
         if (!wasReady) {
@@ -202,6 +254,9 @@
         if (effect instanceof Effect.Schedule s) {
             schedule(s.atMs() - nowMs, () -> deliver(id, s.event()));
         } else if (effect instanceof Effect.Send s) {
+            if (cutOff.contains(id) || cutOff.contains(s.to())) {
+                return;
+            }
             for (int copies = occurs(duplicatePercent) ? 2 : 1; copies > 0 && !occurs(lossPercent); copies--) {
                 schedule(randomDelayMs(), () -> deliver(s.to(), new PeerReceived(id, s.message())));
             }
@@ -221,7 +276,10 @@
     }
 
     private void runPlatformCall(NodeId id, PlatformEffect call, long startedMs) {
-        if (outage) {
+        if (cutOff.contains(id) || silentWatches && call instanceof PlatformEffect.Watch w && w.waitMs() > 0) {
+            return;
+        }
+        if (outage || turnedAway.contains(id)) {
             deliverResult(id, new PlatformEvent.CallFailed(call.tag(), "outage", true));
         } else if (call instanceof PlatformEffect.Get get) {
             Optional<PlatformEvent.Entry> current =
