--- a/node/src/main/java/org/fuchsiadeck/node/platform/HttpAnswer.java
+++ b/node/src/main/java/org/fuchsiadeck/node/platform/HttpAnswer.java
@@ -1,5 +1,6 @@
 package org.fuchsiadeck.node.platform;
 
+import java.util.Map;
 import java.util.OptionalLong;
 
 import static java.util.Objects.requireNonNull;
@@ -10,10 +11,23 @@
  * @param status the HTTP status
  * @param body the body as text
  * @param retryAfterMs the wait that the server asks for, in milliseconds
+ * @param headers the headers by their names in lower case; the last one of several of a name
  */
-public record HttpAnswer(int status, String body, OptionalLong retryAfterMs) {
+public record HttpAnswer(int status, String body, OptionalLong retryAfterMs, Map<String, String> headers) {
     public HttpAnswer {
         requireNonNull(body, "body");
         requireNonNull(retryAfterMs, "retryAfterMs");
+        headers = Map.copyOf(headers);
+    }
+
+    /**
+     * Creates an answer without headers.
+     *
+     * @param status the HTTP status
+     * @param body the body as text
+     * @param retryAfterMs the wait that the server asks for, in milliseconds
+     */
+    public HttpAnswer(int status, String body, OptionalLong retryAfterMs) {
+        this(status, body, retryAfterMs, Map.of());
     }
 }
--- a/node/src/main/java/org/fuchsiadeck/node/platform/PendingCall.java
+++ b/node/src/main/java/org/fuchsiadeck/node/platform/PendingCall.java
@@ -1,6 +1,9 @@
 package org.fuchsiadeck.node.platform;
 
 import java.io.ByteArrayOutputStream;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -111,7 +114,7 @@
         synchronized (this) {
             text = body.toString(UTF_8);
         }
-        complete(Either.right(new HttpAnswer(head.getStatus(), text, retryAfterMs(head))));
+        complete(Either.right(new HttpAnswer(head.getStatus(), text, retryAfterMs(head), headers(head))));
     }
 
     @Override
@@ -124,6 +127,14 @@
         fail(detail);
     }
 
+    private static Map<String, String> headers(HttpResponsePacket packet) {
+        Map<String, String> headers = new HashMap<>();
+        for (String name : packet.getHeaders().names()) {
+            headers.put(name.toLowerCase(Locale.ROOT), packet.getHeader(name));
+        }
+        return headers;
+    }
+
     private HttpContent request() {
         byte[] bytes = call.body().getBytes(UTF_8);
         HttpRequestPacket.Builder request = HttpRequestPacket.builder()
