Keep a configuration that is newer than that of the service's copy

A service that comes back from an older copy may hold an older configuration until the operators' writes are repeated. With positions ordered by era, nodes would go back to it.

Change: where documents name their versions, these decide between two eras; within an era, and without versions, the later position does. Announcements among nodes carry the version, so that a node that starts after the return takes the newer document from its peers.

--- a/core/src/main/java/org/fuchsiadeck/core/EventCode.java
+++ b/core/src/main/java/org/fuchsiadeck/core/EventCode.java
@@ -58,6 +58,10 @@
     CONFIG_APPLIED(4001, Level.INFO, "A configuration was applied on this node."),
     CONFIG_REJECTED(4002, Level.ERROR, "A configuration from the platform's service could not be used."),
     CALLS_HELD(4003, Level.INFO, "Requests that arrived before the node had a configuration are now handled."),
+    CONFIG_KEPT(
+            4004,
+            Level.WARN,
+            "The service came back with an older configuration than the one in force, which is kept."),
     PLATFORM_UNAVAILABLE(4101, Level.WARN, "The platform's service does not answer."),
     PLATFORM_AVAILABLE(4102, Level.INFO, "The platform's service answers again."),
     DUTY_TAKEN(4201, Level.INFO, "The node became leader and performs the duties towards the platform."),
--- a/core/src/main/java/org/fuchsiadeck/core/config/ConfigMessage.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/ConfigMessage.java
@@ -19,23 +19,25 @@
      * with a newer one announces its own back.
      *
      * @param revision the revision; 0 for none
+     * @param version the version of its document; 0 if it names none
      * @param number the number of the query that this answers, if the sender knows how recent the revision is; otherwise 0
      * @param ageMs how long ago the revision was known to be the newest, in milliseconds
      */
-    record Announce(long revision, long number, long ageMs) implements ConfigMessage {
+    record Announce(long revision, long version, long number, long ageMs) implements ConfigMessage {
         public Announce {
             Checks.inRange(revision, 0, Long.MAX_VALUE, "revision");
+            Checks.inRange(version, 0, Long.MAX_VALUE, "version");
             Checks.inRange(number, 0, Long.MAX_VALUE, "number");
             Checks.inRange(ageMs, 0, Long.MAX_VALUE, "ageMs");
         }
 
         /**
-         * Creates an announcement that says nothing of its age.
+         * Creates an announcement that says nothing of its document's version or its age.
          *
          * @param revision the revision; 0 for none
          */
         public Announce(long revision) {
-            this(revision, 0, 0);
+            this(revision, 0, 0, 0);
         }
     }
 
--- a/core/src/main/java/org/fuchsiadeck/core/config/ConfigReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/ConfigReducer.java
@@ -57,6 +57,12 @@
         if (revision <= reduction.newestHandledRevision() || revision <= candidate.parsing() && parseMayComplete) {
             return;
         }
+        parse(reduction, revision, value, source);
+    }
+
+    /** Starts parsing a value. */
+    static void parse(ConfigReduction reduction, long revision, String value, String source) {
+        ConfigState.Candidate candidate = reduction.state().candidate();
         reduction.setCandidate(revision, candidate.rejected());
         reduction.emit(new ConfigEffect.Parse(revision, value, source));
     }
@@ -106,9 +112,21 @@
     }
 
     private static Step<ConfigState> onParsed(ConfigReduction reduction, ConfigEvent.Parsed event) {
-        long revision = event.configuration().revision();
-        if (revision <= reduction.revision()) {
-            return Step.of(reduction.state());
+        Configuration parsed = event.configuration();
+        Configuration current = reduction.state().current();
+        long revision = parsed.revision();
+        if (!parsed.isNewerThan(current)) {
+            if (revision > current.revision()) {
+                reduction.setOlder(revision);
+                reduction.log(
+                        EventCode.CONFIG_KEPT,
+                        "revision " + revision + " from " + event.source() + ": expected version " + current.version()
+                                + " or a later one, got " + parsed.version());
+            }
+            return finish(reduction);
+        }
+        if (revision < current.revision()) {
+            reduction.setOlder(current.revision());
         }
         reduction.emit(logApplied(reduction, revision, event.source()));
         reduction.setCurrent(event.configuration(), event.value(), event.source());
--- a/core/src/main/java/org/fuchsiadeck/core/config/ConfigReduction.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/ConfigReduction.java
@@ -42,7 +42,7 @@
 
     /** Returns the newest revision that is in force or was rejected; it and older ones need not be parsed. */
     long newestHandledRevision() {
-        return Math.max(revision(), state.candidate().rejected());
+        return state.newestHandledRevision();
     }
 
     void emit(Effect effect) {
@@ -57,6 +57,11 @@
         effects.add(new Effect.Send(to, message));
     }
 
+    /** Returns the announcement of the configuration in force. */
+    ConfigMessage.Announce announcement(long number, long ageMs) {
+        return new ConfigMessage.Announce(revision(), state.current().version(), number, ageMs);
+    }
+
     Step<ConfigState> toStep() {
         return new Step<>(state, effects);
     }
@@ -94,7 +99,18 @@
     }
 
     void setCandidate(long parsing, long rejected) {
-        ConfigState.Candidate candidate = new ConfigState.Candidate(parsing, nowMs(), rejected);
+        setCandidate(new ConfigState.Candidate(
+                parsing, nowMs(), rejected, state.candidate().older()));
+    }
+
+    /** Records that a revision need not be applied, since its document is older than the one in force. */
+    void setOlder(long revision) {
+        ConfigState.Candidate candidate = state.candidate();
+        setCandidate(
+                new ConfigState.Candidate(0, nowMs(), candidate.rejected(), Math.max(candidate.older(), revision)));
+    }
+
+    private void setCandidate(ConfigState.Candidate candidate) {
         state = new ConfigState(
                 state.current(),
                 state.value(),
--- a/core/src/main/java/org/fuchsiadeck/core/config/ConfigState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/ConfigState.java
@@ -71,7 +71,7 @@
                 Configuration.NONE,
                 "",
                 new Origin("none", 0),
-                new Candidate(0, 0, 0),
+                new Candidate(0, 0, 0, 0),
                 new ReaderState(0, Optional.empty(), OptionalLong.empty(), 0, 0, false),
                 new ExchangeState(0, 0, 0),
                 new StartupProgress(false, 0, false, 0, Map.of(), 0),
@@ -100,7 +100,7 @@
      */
     public Proof proofFor(long arrivedMs, long nowMs) {
         boolean recent = currency.provenMs() >= 0 && currency.provenMs() >= arrivedMs - MAX_REFUSAL_AGE_MS;
-        boolean handled = currency.revision() <= Math.max(current.revision(), candidate.rejected());
+        boolean handled = currency.revision() <= newestHandledRevision();
         if (recent && handled) {
             return Proof.GIVEN;
         }
@@ -108,6 +108,11 @@
         return hopeless ? Proof.UNAVAILABLE : Proof.AWAITED;
     }
 
+    /** Returns the newest revision that is in force, was rejected or is older by its document. */
+    long newestHandledRevision() {
+        return Math.max(current.revision(), Math.max(candidate.rejected(), candidate.older()));
+    }
+
     /**
      * Source of the configuration in force.
      *
@@ -126,8 +131,9 @@
      * @param parsing the revision being parsed; 0 for none
      * @param sinceMs when this record last changed: the start of parsing or the rejection, in monotonic milliseconds
      * @param rejected the newest revision that could not be parsed; 0 for none
+     * @param older the newest revision whose document is older than the one in force; 0 for none
      */
-    record Candidate(long parsing, long sinceMs, long rejected) {}
+    record Candidate(long parsing, long sinceMs, long rejected, long older) {}
 
     /**
      * Schedule and outcome of the calls to the platform's key-value service.
--- a/core/src/main/java/org/fuchsiadeck/core/config/Configuration.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/Configuration.java
@@ -7,6 +7,7 @@
 import java.util.stream.Stream;
 
 import org.fuchsiadeck.core.model.Checks;
+import org.fuchsiadeck.core.platform.Position;
 
 import static java.util.Objects.requireNonNull;
 
@@ -15,6 +16,7 @@
  * scaling.
  *
  * @param revision the revision that the platform's key-value service assigned; 0 for {@link #NONE}
+ * @param version the version that the operators' document names, which rises with each change; 0 if it names none
  * @param defaults the values for the whole fleet
  * @param exceptions rules that override the defaults for some subjects; where several match, the last one wins
  * @param routes the requests that callers may send and the services that answer them
@@ -24,6 +26,7 @@
  */
 public record Configuration(
         long revision,
+        long version,
         Policy defaults,
         List<ExceptionRule> exceptions,
         List<Route> routes,
@@ -35,6 +38,7 @@
 
     public Configuration {
         Checks.inRange(revision, 0, Long.MAX_VALUE, "revision");
+        Checks.inRange(version, 0, Long.MAX_VALUE, "version");
         requireNonNull(defaults, "defaults");
         exceptions = List.copyOf(exceptions);
         routes = List.copyOf(routes);
@@ -54,7 +58,28 @@
      */
     public Configuration(
             long revision, Policy defaults, List<ExceptionRule> exceptions, List<Route> routes, List<Team> teams) {
-        this(revision, defaults, exceptions, routes, teams, CallerRules.NONE, List.of());
+        this(revision, 0, defaults, exceptions, routes, teams, CallerRules.NONE, List.of());
+    }
+
+    /**
+     * Returns whether this configuration replaces another one. Within an era of the platform's key-value service the later
+     * revision does. A service that has come back from an older copy may hold an older document for a while, with a later
+     * position; where both documents name their versions, these decide then.
+     *
+     * @param other the other configuration
+     * @return whether this one is newer
+     */
+    public boolean isNewerThan(Configuration other) {
+        return isNewer(revision, version, other.revision, other.version);
+    }
+
+    /** Compares revisions and versions as {@link #isNewerThan} does. */
+    static boolean isNewer(long revision, long version, long otherRevision, long otherVersion) {
+        boolean byVersion = Position.era(revision) != Position.era(otherRevision)
+                && version > 0
+                && otherVersion > 0
+                && version != otherVersion;
+        return byVersion ? version > otherVersion : revision > otherRevision;
     }
 
     /**
--- a/core/src/main/java/org/fuchsiadeck/core/config/CurrencyChecks.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/CurrencyChecks.java
@@ -120,11 +120,12 @@
     private static void answer(ConfigReduction reduction, NodeId to, long number) {
         Currency currency = reduction.state().currency();
         boolean inForce = currency.revision() <= reduction.revision();
+        boolean known = number > 0 && inForce && isKnownWithin(reduction, ConfigState.MAX_REFUSAL_AGE_MS);
         reduction.send(
                 to,
-                number > 0 && inForce && isKnownWithin(reduction, ConfigState.MAX_REFUSAL_AGE_MS)
-                        ? new ConfigMessage.Announce(reduction.revision(), number, currency.ageMs(reduction.nowMs()))
-                        : new ConfigMessage.Announce(reduction.revision()));
+                known
+                        ? reduction.announcement(number, currency.ageMs(reduction.nowMs()))
+                        : reduction.announcement(0, 0));
     }
 
     private static void end(ConfigReduction reduction) {
--- a/core/src/main/java/org/fuchsiadeck/core/config/PeerExchange.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/PeerExchange.java
@@ -4,6 +4,7 @@
 
 import org.fuchsiadeck.core.model.NodeId;
 import org.fuchsiadeck.core.model.Peers;
+import org.fuchsiadeck.core.platform.Position;
 
 /**
  * Exchanges the configuration with other entry nodes by gossip. A node announces a new revision to several peers at
@@ -54,12 +55,12 @@
     static void onMessage(ConfigReduction reduction, NodeId from, ConfigMessage message) {
         if (message instanceof ConfigMessage.Announce announce) {
             CurrencyChecks.onAnswer(reduction, announce);
-            onAnnounce(reduction, from, announce.revision());
+            onAnnounce(reduction, from, announce);
         } else if (message instanceof ConfigMessage.Query query) {
             CurrencyChecks.onQuery(reduction, from, query.number());
         } else if (message instanceof ConfigMessage.Offer offer) {
             reduction.recordPeerRevision(from, offer.revision());
-            ConfigReducer.parseIfNewer(reduction, offer.revision(), offer.value(), from.value());
+            onOffer(reduction, from, offer);
         } else if (reduction.revision() > 0) {
             reduction.send(
                     from,
@@ -68,16 +69,33 @@
         }
     }
 
-    private static void onAnnounce(ConfigReduction reduction, NodeId from, long revision) {
-        reduction.recordPeerRevision(from, revision);
-        if (revision < reduction.revision()) {
-            reduction.send(from, new ConfigMessage.Announce(reduction.revision()));
+    /** Parses an offer. One that was fetched for its document's version may have an earlier revision. */
+    private static void onOffer(ConfigReduction reduction, NodeId from, ConfigMessage.Offer offer) {
+        boolean earlierEra = Position.era(offer.revision()) < Position.era(reduction.revision());
+        if (earlierEra && offer.revision() == reduction.state().exchange().fetching()) {
+            ConfigReducer.parse(reduction, offer.revision(), offer.value(), from.value());
+        } else {
+            ConfigReducer.parseIfNewer(reduction, offer.revision(), offer.value(), from.value());
+        }
+    }
+
+    private static void onAnnounce(ConfigReduction reduction, NodeId from, ConfigMessage.Announce announce) {
+        long revision = announce.revision();
+        long version = announce.version();
+        long ownRevision = reduction.revision();
+        long ownVersion = reduction.state().current().version();
+        if (Configuration.isNewer(ownRevision, ownVersion, revision, version)) {
+            reduction.recordPeerRevision(from, Math.min(revision, ownRevision));
+            reduction.send(from, reduction.announcement(0, 0));
             return;
         }
+        reduction.recordPeerRevision(from, revision);
+        boolean earlierEra = Position.era(revision) < Position.era(ownRevision);
+        boolean unhandled = earlierEra || revision > reduction.newestHandledRevision();
         ConfigState.ExchangeState exchange = reduction.state().exchange();
-        boolean fetchPending =
-                revision <= exchange.fetching() && reduction.nowMs() - exchange.fetchedMs() < FETCH_TIMEOUT_MS;
-        if (revision > reduction.newestHandledRevision() && !fetchPending) {
+        boolean fetchPending = (earlierEra ? revision == exchange.fetching() : revision <= exchange.fetching())
+                && reduction.nowMs() - exchange.fetchedMs() < FETCH_TIMEOUT_MS;
+        if (Configuration.isNewer(revision, version, ownRevision, ownVersion) && unhandled && !fetchPending) {
             reduction.setExchange(new ConfigState.ExchangeState(exchange.nextMs(), revision, reduction.nowMs()));
             reduction.send(from, new ConfigMessage.Fetch());
         }
@@ -85,7 +103,7 @@
 
     private static void announce(ConfigReduction reduction, int count) {
         for (Peers.Peer peer : reduction.randomPeers(count, Set.of())) {
-            reduction.send(peer.id(), new ConfigMessage.Announce(reduction.revision()));
+            reduction.send(peer.id(), reduction.announcement(0, 0));
         }
     }
 
--- a/core/src/main/java/org/fuchsiadeck/core/config/Readiness.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/Readiness.java
@@ -46,7 +46,7 @@
                             ? "the platform's service holds no configuration"
                             : "no configuration is known");
         }
-        if (reduction.revision() < newest) {
+        if (Math.max(reduction.revision(), reduction.state().candidate().older()) < newest) {
             boolean rejected = reduction.state().candidate().rejected() >= newest;
             reasons.add("configuration " + newest + " is not in force here"
                     + (rejected ? ": it could not be read" : " yet"));
--- a/node/src/main/java/org/fuchsiadeck/node/config/ConfigCodecs.java
+++ b/node/src/main/java/org/fuchsiadeck/node/config/ConfigCodecs.java
@@ -36,6 +36,7 @@
     private static ConfigAnnounce announce(Announce m) {
         return ConfigAnnounce.newBuilder()
                 .setRevision(m.revision())
+                .setVersion(m.version())
                 .setNumber(m.number())
                 .setAgeMs(m.ageMs())
                 .build();
@@ -43,7 +44,7 @@
 
     private static Announce announce(ByteString payload) throws InvalidProtocolBufferException {
         ConfigAnnounce p = ConfigAnnounce.parseFrom(payload);
-        return new Announce(p.getRevision(), p.getNumber(), p.getAgeMs());
+        return new Announce(p.getRevision(), p.getVersion(), p.getNumber(), p.getAgeMs());
     }
 
     private static ConfigQuery query(Query m) {
