Take the leader's key back after the service went back to a copy

No usage was reported after the key-value service had come back from an older copy: the leader wrote its record with a condition on a revision of before.

Change: a leader does not act on a lease of an earlier era. If the copy still holds its key, it replaces the key under a new lease at once, by a condition on the key's present revision; a key seen with a revision of an earlier lease no longer counts as the write whose answer was lost. Counts of windows that may have been reported in the lost seconds are not written again, as they could differ from what was reported.

--- a/core/src/main/java/org/fuchsiadeck/core/duty/DutyReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/duty/DutyReducer.java
@@ -16,6 +16,7 @@
 import org.fuchsiadeck.core.model.Rendezvous;
 import org.fuchsiadeck.core.platform.CallSchedule;
 import org.fuchsiadeck.core.platform.PlatformEvent;
+import org.fuchsiadeck.core.platform.Position;
 import org.fuchsiadeck.core.platform.WatchedKeys;
 
 /**
@@ -71,6 +72,10 @@
         WatchedKeys.Update keys = state.keys().onTick(view.nowMs());
         out.addAll(keys.effects());
         DutyState next = state.with(keys.next());
+        if (keys.next().position().isPresent()) {
+            long era = Position.era(keys.next().position().getAsLong());
+            next = next.with(next.usage().inEra(era, view.usage().medianWallMs(view.nowMs())));
+        }
         if (keys.next().known()) {
             String ownValue = view.self().id() + " " + view.usage().own().startedWallMs();
             Update<Leadership> holding = next.holding()
--- a/core/src/main/java/org/fuchsiadeck/core/duty/DutyState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/duty/DutyState.java
@@ -1,6 +1,7 @@
 package org.fuchsiadeck.core.duty;
 
 import org.fuchsiadeck.core.View;
+import org.fuchsiadeck.core.platform.Position;
 import org.fuchsiadeck.core.platform.WatchedKeys;
 
 import static java.util.Objects.requireNonNull;
@@ -61,10 +62,12 @@
 
     /**
      * Returns whether the node may make calls that carry a fencing token: it is the leader, and either the first one or
-     * leader for at least the lease time, so that calls of an earlier leader have ended.
+     * leader for at least the lease time, so that calls of an earlier leader have ended. A lease of an earlier era of the
+     * service proves nothing.
      */
     boolean mayAct(View view) {
         return holding.isLeader(view)
+                && Position.era(holding.fencingToken()) >= Position.era(keys.newest())
                 && term.first()
                         .filter(first -> first || holding.heldForMs(view) >= rules.leaseMs())
                         .isPresent();
--- a/core/src/main/java/org/fuchsiadeck/core/duty/Leadership.java
+++ b/core/src/main/java/org/fuchsiadeck/core/duty/Leadership.java
@@ -71,6 +71,12 @@
             }
             return withKeyUpdate(view, key.onTick(now));
         }
+        Optional<PlatformEvent.Entry> own =
+                entry.filter(e -> e.value().filter(ownValue::equals).isPresent());
+        if (own.isPresent()) {
+            LeasedKey again = LeasedKey.replacing(KEY, ownValue, own.get().revision(), leaseMs);
+            return new Leadership(Optional.of(again), -1, -1, 0, 0).onTick(view, entry, ownValue, leaseMs);
+        }
         if (entry.isPresent()) {
             return new Update<>(new Leadership(lease, -1, -1, askedOffsetMs, provenOffsetMs), List.of());
         }
--- a/core/src/main/java/org/fuchsiadeck/core/duty/UsageReporter.java
+++ b/core/src/main/java/org/fuchsiadeck/core/duty/UsageReporter.java
@@ -19,16 +19,21 @@
 
 /**
  * Reports the usage of each window to the platform. The counts are first stored in the platform's key-value service,
- * with a conditional write, so that two leaders never report different counts.
+ * with a conditional write, so that two leaders never report different counts. If the service comes back from an older copy, the
+ * counts of the last windows may be gone, although they were reported; they are not counted again.
  *
  * @param reported windows whose reports took effect
+ * @param era the era of the service in which the counts were last seen; negative before that
+ * @param eraSinceMs when a later era than the first one was noticed, in wall-clock milliseconds
  * @param write the write in progress
  * @param call the report in progress
  * @param sequence the number of calls made so far
  */
-record UsageReporter(TreeSet<Long> reported, PendingCall write, PendingCall call, long sequence) {
+record UsageReporter(
+        TreeSet<Long> reported, long era, long eraSinceMs, PendingCall write, PendingCall call, long sequence) {
     static final String KEY = "duty/usage";
-    static final UsageReporter NONE = new UsageReporter(TreeSet.empty(), PendingCall.NONE, PendingCall.NONE, 0);
+    static final UsageReporter NONE =
+            new UsageReporter(TreeSet.empty(), -1, Long.MIN_VALUE, PendingCall.NONE, PendingCall.NONE, 0);
 
     /** Nodes exchange their counts a few times per second, so counts are complete this long after a window's end. */
     private static final long SETTLE_DELAY_MS = 1_500;
@@ -47,6 +52,15 @@
         requireNonNull(call, "call");
     }
 
+    /** Notices the era of the service, as of its newest answer. */
+    UsageReporter inEra(long current, long wallMs) {
+        if (current <= era) {
+            return this;
+        }
+        long since = era < 0 ? eraSinceMs : wallMs;
+        return new UsageReporter(reported, current, since, write, call, sequence);
+    }
+
     /** Makes the next write or report if one is due. Only the leader may call this. */
     Update<UsageReporter> callIfDue(
             View view, DutyRules rules, long fencingToken, Optional<PlatformEvent.Entry> entry) {
@@ -69,6 +83,10 @@
             }
             boolean complete = view.usage().hasReportsFromAllNodes(now) || sinceEndMs >= rules.usageLateMs() / 2;
             Map<TeamId, Long> started = view.usage().begunRequests(window);
+            boolean maybeReported = (window + 1) * rules.usageWindowMs() + SETTLE_DELAY_MS <= eraSinceMs;
+            if (maybeReported) {
+                continue;
+            }
             if (complete && !started.isEmpty() && write.isCallAllowed(now)) {
                 return store(now, stored.withCounts(window, started), entry.map(PlatformEvent.Entry::revision));
             }
@@ -88,12 +106,12 @@
         Effect log = new Effect.Log(
                 done ? EventCode.USAGE_REPORTED : EventCode.DUTY_CALL_FAILED,
                 "usage report for window " + window + ": " + event.detail());
-        return new Update<>(new UsageReporter(kept, write, next, sequence), List.of(log));
+        return new Update<>(new UsageReporter(kept, era, eraSinceMs, write, next, sequence), List.of(log));
     }
 
     UsageReporter onPlatformEvent(long nowMs, PlatformEvent event) {
         return write.isEndedBy(event)
-                ? new UsageReporter(reported, PendingCall.pause(nowMs, RETRY_DELAY_MS), call, sequence)
+                ? new UsageReporter(reported, era, eraSinceMs, PendingCall.pause(nowMs, RETRY_DELAY_MS), call, sequence)
                 : this;
     }
 
@@ -101,12 +119,15 @@
         String tag = "usage/" + window + "/" + sequence;
         List<Effect> out = new ArrayList<>();
         out.add(new DutyEffect.ReportUsage(tag, fencingToken, window, counts));
-        return new Update<>(new UsageReporter(reported, write, PendingCall.of(tag, nowMs), sequence + 1), out);
+        return new Update<>(
+                new UsageReporter(reported, era, eraSinceMs, write, PendingCall.of(tag, nowMs), sequence + 1), out);
     }
 
     private Update<UsageReporter> store(long nowMs, WindowCounts stored, Optional<Long> revision) {
         String tag = "duty/write/" + sequence;
         Effect put = new PlatformEffect.Put(tag, KEY, stored.serialize(), OptionalLong.of(revision.orElse(0L)));
-        return new Update<>(new UsageReporter(reported, PendingCall.of(tag, nowMs), call, sequence + 1), List.of(put));
+        return new Update<>(
+                new UsageReporter(reported, era, eraSinceMs, PendingCall.of(tag, nowMs), call, sequence + 1),
+                List.of(put));
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/platform/LeasedKey.java
+++ b/core/src/main/java/org/fuchsiadeck/core/platform/LeasedKey.java
@@ -15,7 +15,8 @@
  *
  * @param key the key
  * @param value the value of the key
- * @param exclusive whether it is written only where the key does not exist
+ * @param expected the revision that the key must have to be written, 0 if it must not exist; empty for any
+ * @param earlier the revision of this node's last write under an earlier lease; 0 for none
  * @param ttlMs how long the lease lasts without renewal, in milliseconds
  * @param lease the id of the lease; empty until it is granted
  * @param revision the revision of the write; 0 while the key is not known to be written
@@ -28,7 +29,8 @@
 public record LeasedKey(
         String key,
         String value,
-        boolean exclusive,
+        OptionalLong expected,
+        long earlier,
         long ttlMs,
         Optional<String> lease,
         long revision,
@@ -51,6 +53,7 @@
         Checks.notBlank(key, "key");
         Checks.notBlank(value, "value");
         Checks.inRange(ttlMs, 1, Long.MAX_VALUE, "ttlMs");
+        requireNonNull(expected, "expected");
         requireNonNull(lease, "lease");
         requireNonNull(call, "call");
     }
@@ -78,7 +81,22 @@
      * @return the key
      */
     public static LeasedKey of(String key, String value, boolean exclusive, long ttlMs) {
-        return new LeasedKey(key, value, exclusive, ttlMs, Optional.empty(), 0, 0, Optional.empty(), 0, 0);
+        OptionalLong expected = exclusive ? OptionalLong.of(0) : OptionalLong.empty();
+        return new LeasedKey(key, value, expected, 0, ttlMs, Optional.empty(), 0, 0, Optional.empty(), 0, 0);
+    }
+
+    /**
+     * Returns a key that replaces one which this node wrote before, with a lease that has ended or is not known to last.
+     *
+     * @param key the key
+     * @param value the value of the key
+     * @param earlier the revision of the key that may be replaced
+     * @param ttlMs how long the lease lasts without renewal, in milliseconds
+     * @return the key
+     */
+    public static LeasedKey replacing(String key, String value, long earlier, long ttlMs) {
+        return new LeasedKey(
+                key, value, OptionalLong.of(earlier), earlier, ttlMs, Optional.empty(), 0, 0, Optional.empty(), 0, 0);
     }
 
     /**
@@ -114,7 +132,6 @@
         }
         if (revision == 0) {
             String tag = nextTag(PUT_TAG);
-            OptionalLong expected = exclusive ? OptionalLong.of(0) : OptionalLong.empty();
             Effect put = new PlatformEffect.LeasedPut(tag, key, value, expected, lease.get());
             return new Update(withCall(nowMs, tag), List.of(put));
         }
@@ -156,16 +173,26 @@
 
     /**
      * Records a write whose answer was lost, once a read has found the key with this node's value. Changes nothing if the
-     * key is known to be written or there is no lease.
+     * key is known to be written, there is no lease, or the write was made under an earlier one.
      *
      * @param atRevision the revision of the write
      * @return the next state
      */
     public LeasedKey withObservedWrite(long atRevision) {
-        boolean answerLost = revision == 0 && lease.isPresent();
+        boolean answerLost = revision == 0 && lease.isPresent() && atRevision > earlier;
         return answerLost
                 ? new LeasedKey(
-                        key, value, exclusive, ttlMs, lease, atRevision, provenMs, Optional.empty(), sequence, nextMs)
+                        key,
+                        value,
+                        expected,
+                        earlier,
+                        ttlMs,
+                        lease,
+                        atRevision,
+                        provenMs,
+                        Optional.empty(),
+                        sequence,
+                        nextMs)
                 : this;
     }
 
@@ -180,7 +207,17 @@
     private LeasedKey withCall(long nowMs, String tag) {
         WatchedKeys.Call next = new WatchedKeys.Call(tag, nowMs, nowMs + CALL_TIMEOUT_MS);
         return new LeasedKey(
-                key, value, exclusive, ttlMs, lease, revision, provenMs, Optional.of(next), sequence + 1, nextMs);
+                key,
+                value,
+                expected,
+                earlier,
+                ttlMs,
+                lease,
+                revision,
+                provenMs,
+                Optional.of(next),
+                sequence + 1,
+                nextMs);
     }
 
     private LeasedKey withFailure(long nowMs) {
@@ -188,14 +225,26 @@
     }
 
     private LeasedKey withoutLease(long retryMs) {
-        return withoutCall(Optional.empty(), 0, provenMs, retryMs);
+        return new LeasedKey(
+                key,
+                value,
+                expected.isPresent() ? OptionalLong.of(0) : expected,
+                Math.max(earlier, revision),
+                ttlMs,
+                Optional.empty(),
+                0,
+                provenMs,
+                Optional.empty(),
+                sequence,
+                retryMs);
     }
 
     private LeasedKey withoutCall(Optional<String> newLease, long newRevision, long newProvenMs, long newNextMs) {
         return new LeasedKey(
                 key,
                 value,
-                exclusive,
+                expected,
+                earlier,
                 ttlMs,
                 newLease,
                 newRevision,
