Take an order in the service's copy for the order that it was

With positions ordered by era, the order of a finished rollout that is still in the copy had a later number than its rollout. The rollout would have been started again, also one that had been taken back, and its status, which the copy may lack, would not have been written again.

An order with the revision and target of a rollout is the rollout's order, whatever the era. A status is written again when its order is read in a new era. The new case of RolloutOrderReducerTest failed without the change.

--- a/core/src/main/java/org/fuchsiadeck/core/desk/RolloutOrderReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/desk/RolloutOrderReducer.java
@@ -16,6 +16,7 @@
 import org.fuchsiadeck.core.platform.CallSchedule;
 import org.fuchsiadeck.core.platform.PlatformEffect;
 import org.fuchsiadeck.core.platform.PlatformEvent;
+import org.fuchsiadeck.core.platform.Position;
 import org.fuchsiadeck.core.platform.WatchedKeys;
 import org.fuchsiadeck.core.rollout.Rollout;
 import org.fuchsiadeck.core.rollout.RolloutEvent;
@@ -86,12 +87,18 @@
         return new Step<>(next, out);
     }
 
+    /** Reads new orders. In a new era of the service, statuses that were written may be gone and are written again. */
     private RolloutOrderState readOrders(RolloutOrderState state, List<Effect> out) {
         Map<String, Long> known = state.read();
+        Map<String, String> written = state.written();
         for (PlatformEvent.Entry entry : state.orders().items().values()) {
             if (known.get(entry.key()).exists(r -> r >= entry.revision())) {
                 continue;
             }
+            long before = known.get(entry.key()).getOrElse(entry.revision());
+            if (Position.era(before) < Position.era(entry.revision())) {
+                written = written.remove(entry.key().substring(RolloutOrderState.ORDERS_PREFIX.length()));
+            }
             known = known.put(entry.key(), entry.revision());
             Either<String, RolloutOrder> order = codec.parseOrder(entry.value().orElse(""), entry.revision());
             if (order.isRight()) {
@@ -101,13 +108,14 @@
                     order.isRight() ? EventCode.ROLLOUT_ORDERED : EventCode.ROLLOUT_ORDER_UNREADABLE,
                     entry.key() + " " + order.fold(e -> e, RolloutOrder::toString)));
         }
-        return state.withRead(known);
+        return state.withRead(known).with(written, state.writing(), state.sequence());
     }
 
     private Step<RolloutOrderState> onStands(RolloutOrderState state, View view, Rollout rollout) {
         String service = rollout.service();
-        boolean orderRead =
-                state.read().get(RolloutOrderState.ORDERS_PREFIX + service).exists(r -> r == rollout.number());
+        boolean orderRead = state.read()
+                .get(RolloutOrderState.ORDERS_PREFIX + service)
+                .exists(r -> Position.revision(r) == Position.revision(rollout.number()));
         String text = codec.serializeStatus(rollout.newVersion(), statusOf(rollout));
         String numberedText = rollout.number() + " " + text;
         boolean alreadyWritten = state.written().get(service).exists(numberedText::equals);
--- a/core/src/main/java/org/fuchsiadeck/core/rollout/RolloutState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/rollout/RolloutState.java
@@ -241,7 +241,9 @@
     }
 
     private static boolean isOpen(RolloutRegistry registry, RolloutOrder order) {
-        return !registry.rollouts().get(order.service()).exists(r -> r.number() >= order.number());
+        return !registry.rollouts()
+                .get(order.service())
+                .exists(r -> r.number() >= order.number() || order.isOrderOf(r));
     }
 
     /**
--- a/core/src/test/java/org/fuchsiadeck/core/desk/RolloutOrderReducerTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/desk/RolloutOrderReducerTest.java
@@ -22,6 +22,7 @@
 import org.fuchsiadeck.core.model.Zone;
 import org.fuchsiadeck.core.platform.PlatformEffect;
 import org.fuchsiadeck.core.platform.PlatformEvent;
+import org.fuchsiadeck.core.platform.Position;
 import org.fuchsiadeck.core.rollout.Rollout;
 import org.fuchsiadeck.core.rollout.RolloutEvent;
 import org.fuchsiadeck.core.rollout.RolloutOrder;
@@ -51,6 +52,8 @@
     private final List<String> statuses = new ArrayList<>();
     private PlatformEvent.Entry storedRollouts;
     private long revision = 20;
+    private long era;
+    private String lastWatch = "";
     private long now;
 
     private static final class Codec implements RolloutOrderCodec {
@@ -111,8 +114,11 @@
         } else if (effect instanceof PlatformEffect.ListKeys list) {
             handle(new PlatformEvent.KeysListed(
                     list.tag(),
-                    List.of(new PlatformEvent.Entry("rollout-orders/app", Optional.of("v2"), 15)),
-                    revision));
+                    List.of(new PlatformEvent.Entry("rollout-orders/app", Optional.of("v2"), Position.of(era, 15))),
+                    Position.of(era, revision)));
+        } else if (effect instanceof PlatformEffect.Watch watch
+                && watch.prefix().equals("rollout-orders/")) {
+            lastWatch = watch.tag();
         }
     }
 
@@ -129,6 +135,23 @@
         return rolloutState.book().rollouts().get("app").get();
     }
 
+    /** The order of a finished rollout was taken for a new one, as it had a later position. */
+    @Test
+    void writesTheStatusAgainAndStartsNothingAfterTheServiceWentBackToACopyWithTheOrder() {
+        handle(new PlatformEvent.Listed(List.of(server("a", "v1"), server("b", "v2")), List.of()));
+        handle(new LifecycleEvent.Started());
+        run(2 * DURATION_MS);
+        assertThat(rollout().stage()).isEqualTo(RolloutStage.DONE);
+        long number = rollout().number();
+        int statusesBefore = statuses.size();
+        era = 1;
+        handle(new PlatformEvent.Watched(lastWatch, List.of(), revision, true));
+        run(DURATION_MS);
+        assertThat(rollout().number()).isEqualTo(number);
+        assertThat(rollout().stage()).isEqualTo(RolloutStage.DONE);
+        assertThat(statuses.subList(statusesBefore, statuses.size())).containsExactly("v2 DONE");
+    }
+
     @Test
     void completesRolloutByDueTimeAndWritesStatus() {
         handle(new PlatformEvent.Listed(List.of(server("a", "v1"), server("b", "v2")), List.of()));
