Log a configuration's age only with refusals that rest on it

Malformed requests were logged with the revision and age of the configuration too, since the port logged all refusals of a request's head in one way.

--- a/node/src/main/java/org/fuchsiadeck/node/front/CallerHandler.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerHandler.java
@@ -118,7 +118,9 @@
                 awaitProof(request, call, proof);
             }
         } catch (BadCallException e) {
-            if (!e.isByConfiguration() || proof == Proof.GIVEN) {
+            if (!e.isByConfiguration()) {
+                refuse(call.answer(), e.refusal(), true);
+            } else if (proof == Proof.GIVEN) {
                 refuseByConfiguration(call, e.refusal());
             } else {
                 awaitProof(request, call, proof);
