Test that no window is counted again after the service went back

A new leader whose record of usage lacks the windows of the lost seconds must not report them a second time.

--- a/core/src/test/java/org/fuchsiadeck/core/duty/DutyReducerTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/duty/DutyReducerTest.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.TreeMap;
 
 import org.fuchsiadeck.core.Effect;
@@ -24,6 +26,7 @@
 import org.fuchsiadeck.core.model.Zone;
 import org.fuchsiadeck.core.platform.PlatformEffect;
 import org.fuchsiadeck.core.platform.PlatformEvent;
+import org.fuchsiadeck.core.platform.Position;
 import org.fuchsiadeck.core.quarantine.QuarantineState;
 import org.fuchsiadeck.core.share.ShareEvent;
 import org.fuchsiadeck.core.share.ShareReducer;
@@ -275,6 +278,32 @@
         assertOneLeaderAtATime();
     }
 
+    /** The copy lacks the counts of windows that were reported, and the new leader has not reported them itself. */
+    @Test
+    void countsNoWindowAgainThatMayHaveBeenReportedBeforeTheServiceWentBack() {
+        start("a", "b", "c");
+        run(12_000);
+        Map<String, PlatformEvent.Entry> copy = new TreeMap<>(keys);
+        long copiedRevision = revision;
+        run(10_000);
+        Set<Long> before = Set.copyOf(reports().keySet());
+        int callsBefore = calls.size();
+        nodes.remove(calls.get(callsBefore - 1).from());
+        keys.clear();
+        copy.forEach((key, entry) ->
+                keys.put(key, new PlatformEvent.Entry(key, entry.value(), Position.of(1, entry.revision()))));
+        revision = Position.of(1, copiedRevision);
+        leases.clear();
+        run(30_000);
+        assertOneLeaderAtATime();
+        Set<Long> after = new HashSet<>();
+        calls.subList(callsBefore, calls.size()).stream()
+                .map(Call::effect)
+                .filter(DutyEffect.ReportUsage.class::isInstance)
+                .forEach(e -> after.add(((DutyEffect.ReportUsage) e).window()));
+        assertThat(after).hasSizeGreaterThanOrEqualTo(3).doesNotContainAnyElementsOf(before);
+    }
+
     @Test
     void catchesUpAfterPlatformOutage() {
         start("a", "b");
