Pass each lost answer on once, whatever its age

Cause: a loss is sent with its age, so that it looks later by the time of the message at each node that passes it on. Once an answer had cleared a loss, a copy that had come a longer way looked later than the answer, was taken for a new loss and passed on again, the longer messages took, the more. Links filled up with copies of the same losses, which made messages slower still; it did not end with the losses.

Change: a node remembers the attempts whose losses it has heard of for as long as losses are kept, also those that were cleared, and takes each once.

--- a/core/src/main/java/org/fuchsiadeck/core/quarantine/Losses.java
+++ b/core/src/main/java/org/fuchsiadeck/core/quarantine/Losses.java
@@ -16,17 +16,20 @@
  * @param byAttempt the losses by attempt
  * @param byPart the losses of each part, by attempt
  * @param byServer the losses at each server, by attempt
+ * @param seen the time at which each attempt was first heard of, in milliseconds, also of losses that were cleared since
  */
 public record Losses(
         Map<Attempt, PromptLoss> byAttempt,
         Map<String, Map<Attempt, PromptLoss>> byPart,
-        Map<BackendId, Map<Attempt, PromptLoss>> byServer) {
-    static final Losses NONE = new Losses(HashMap.empty(), HashMap.empty(), HashMap.empty());
+        Map<BackendId, Map<Attempt, PromptLoss>> byServer,
+        Map<Attempt, Long> seen) {
+    static final Losses NONE = new Losses(HashMap.empty(), HashMap.empty(), HashMap.empty(), HashMap.empty());
 
     public Losses {
         requireNonNull(byAttempt, "byAttempt");
         requireNonNull(byPart, "byPart");
         requireNonNull(byServer, "byServer");
+        requireNonNull(seen, "seen");
     }
 
     /**
@@ -50,13 +53,33 @@
         return byAttempt.containsKey(Attempt.of(loss));
     }
 
+    /**
+     * Returns whether a loss was heard of before, even if it was cleared since. Each node that passes a loss on makes it look
+     * later by the time that the message took, so that its times don't show that it was cleared.
+     */
+    boolean isSeen(PromptLoss loss) {
+        return seen.containsKey(Attempt.of(loss));
+    }
+
+    int seenSize() {
+        return seen.size();
+    }
+
+    Losses withSeen(PromptLoss loss, long nowMs) {
+        return new Losses(byAttempt, byPart, byServer, seen.put(Attempt.of(loss), nowMs));
+    }
+
+    Losses withoutSeenBefore(long fromMs) {
+        return new Losses(byAttempt, byPart, byServer, seen.filterValues(ms -> ms >= fromMs));
+    }
+
     Losses with(PromptLoss loss) {
         Attempt attempt = Attempt.of(loss);
         Map<String, Map<Attempt, PromptLoss>> parts = byPart;
         for (String part : loss.parts()) {
             parts = withEntry(parts, part, attempt, loss);
         }
-        return new Losses(byAttempt.put(attempt, loss), parts, withEntry(byServer, loss.server(), attempt, loss));
+        return new Losses(byAttempt.put(attempt, loss), parts, withEntry(byServer, loss.server(), attempt, loss), seen);
     }
 
     private static <K> Map<K, Map<Attempt, PromptLoss>> withEntry(
@@ -70,7 +93,7 @@
         for (String part : loss.parts()) {
             parts = withoutEntry(parts, part, attempt);
         }
-        return new Losses(byAttempt.remove(attempt), parts, withoutEntry(byServer, loss.server(), attempt));
+        return new Losses(byAttempt.remove(attempt), parts, withoutEntry(byServer, loss.server(), attempt), seen);
     }
 
     private static <K> Map<K, Map<Attempt, PromptLoss>> withoutEntry(
--- a/core/src/main/java/org/fuchsiadeck/core/quarantine/QuarantineState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/quarantine/QuarantineState.java
@@ -37,6 +37,7 @@
         Timing timing,
         UnsentNews unsent) {
     private static final int MAX_LOSSES = 512;
+    private static final int MAX_SEEN = 16_384;
     private static final int MAX_QUARANTINES = 64;
     private static final long LOSS_RETENTION_MS = 60_000;
 
@@ -185,13 +186,17 @@
      *
      * @param loss the loss
      * @param nowMs the time, in milliseconds
-     * @return the next state; this one if the loss is known, none of its parts can be to blame, or there are too many
+     * @return the next state, without the loss if it is known, none of its parts can be to blame, or there are too many
      */
     QuarantineState withLoss(PromptLoss loss, long nowMs) {
-        if (losses.size() >= MAX_LOSSES || losses.contains(loss) || !isOpen(loss)) {
+        if (losses.isSeen(loss) || losses.seenSize() >= MAX_SEEN) {
             return this;
         }
-        QuarantineState next = withLosses(losses.with(loss));
+        Losses seen = losses.withSeen(loss, nowMs);
+        if (losses.size() >= MAX_LOSSES || !isOpen(loss)) {
+            return withLosses(seen);
+        }
+        QuarantineState next = withLosses(seen.with(loss));
         Option<Quarantine> known = quarantines.values().find(q -> q.explains(loss));
         return known.filter(q -> q.isConfirmedBy(loss))
                 .map(q -> next.withQuarantine(q.renewed(nowMs)))
@@ -270,7 +275,8 @@
     QuarantineState withoutExpired(long nowMs) {
         Map<BackendId, Long> recent = servers.filterValues(ms -> ms > nowMs - LOSS_RETENTION_MS);
         return new QuarantineState(losses, answered, recent, quarantines, peers, timing, unsent)
-                .withLosses(losses.withoutIf(losses.all(), l -> l.lostMs() <= nowMs - LOSS_RETENTION_MS))
+                .withLosses(losses.withoutIf(losses.all(), l -> l.lostMs() <= nowMs - LOSS_RETENTION_MS)
+                        .withoutSeenBefore(nowMs - LOSS_RETENTION_MS))
                 .withQuarantines(quarantines.filterValues(q -> q.untilMs() > nowMs - QUARANTINE_RETENTION_MS));
     }
 
--- a/core/src/test/java/org/fuchsiadeck/core/quarantine/MassLossTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/quarantine/MassLossTest.java
@@ -28,6 +28,8 @@
 import org.fuchsiadeck.core.model.Zone;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -47,6 +49,15 @@
 
     private static final int MAX_MESSAGES_PER_NODE_AND_SECOND = 100;
 
+    /** What a node sends in a second to the nodes that may have missed something: the latest 64 losses and their parts, twice. */
+    private static final int MAX_SYNC_ENTRIES = 2 * 64 * 3;
+
+    private static final long SETTLE_MS = 2_000;
+    private static final int PASSED_ON_TO = 8;
+
+    /** A loss is cleared by the answer of its server or of one of its two parts. */
+    private static final int CLEARED_PER_LOSS = 3;
+
     private final QuarantineReducer reducer = new QuarantineReducer();
     private final Map<NodeId, QuarantineState> states = new TreeMap<>();
     private final Map<NodeId, View> views = new HashMap<>();
@@ -59,6 +70,8 @@
     private long nowMs = 1_000;
     private long cpuNanos;
     private int messages;
+    private int entries;
+    private long delayMs = 1;
 
     private record Due(long atMs, long order, NodeId node, Event event) {}
 
@@ -106,12 +119,20 @@
             at(schedule.atMs(), node, schedule.event());
         } else if (effect instanceof Effect.Send send) {
             messages++;
-            at(nowMs + 1, send.to(), new PeerReceived(node, send.message()));
+            entries += entries((QuarantineNews) send.message());
+            at(nowMs + delayMs, send.to(), new PeerReceived(node, send.message()));
         } else if (effect instanceof Effect.Log log) {
             logs.add(log.code());
         }
     }
 
+    private static int entries(QuarantineNews news) {
+        return news.losses().size()
+                + news.quarantines().size()
+                + news.answers().size()
+                + news.servers().size();
+    }
+
     private NodeId randomNode() {
         return new NodeId("n" + random.nextInt(NODES));
     }
@@ -152,6 +173,31 @@
         assertThat(messages / SECONDS / NODES).isLessThan(MAX_MESSAGES_PER_NODE_AND_SECOND);
     }
 
+    /**
+     * Ages get later by the time that a message takes, and losses that answers had cleared were taken for new ones then. They
+     * went from node to node without end, on links that were full of them.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 20, 100, 400})
+    void newsEndsSoonAfterTheLastLoss(long delay) {
+        delayMs = delay;
+        loseAndAnswer(nowMs, SECONDS);
+        run(nowMs + 1_000L * SECONDS + SETTLE_MS);
+        entries = 0;
+        run(nowMs + 1_000);
+        assertThat(entries / NODES).isLessThanOrEqualTo(MAX_SYNC_ENTRIES);
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 20, 100, 400})
+    void eachLossIsPassedOnOnce(long delay) {
+        delayMs = delay;
+        loseAndAnswer(nowMs, SECONDS);
+        run(nowMs + 1_000L * SECONDS);
+        int each = PASSED_ON_TO * (LOSSES_PER_SECOND + CLEARED_PER_LOSS * LOSSES_PER_SECOND);
+        assertThat(entries / SECONDS / NODES).isLessThanOrEqualTo(each + MAX_SYNC_ENTRIES);
+    }
+
     /** Each node must still learn of the losses: those with the same part may be due to it. */
     @Test
     void allNodesLearnOfALossSoon() {
