Keep a starting node unready while a peer has a newer configuration

A node that starts after the service went back to a copy, before the operators have written again, became ready with the copy's older configuration though a peer had already reported the newer one: callers would have been served and refused by what had been replaced.

Cause: readiness compared positions alone, while the choice of the configuration compares versions between two eras.

Change: readiness compares what peers report as everything else does. The model checks in all eras that no configuration in force is replaced by an older one, by position within an era and by version between two, and that a node does not become ready with an older one than a live peer has reported.

--- a/core/src/main/java/org/fuchsiadeck/core/config/ConfigReduction.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/ConfigReduction.java
@@ -216,10 +216,11 @@
         setStartup(state.startup().withPlatformRevision(revision), state.unready());
     }
 
-    /** Records the revision that a peer has. Without effect once the node is ready, as only readiness depends on it. */
-    void recordPeerRevision(NodeId peer, long revision) {
+    /** Records the configuration that a peer has. Without effect once the node is ready, as only readiness depends on it. */
+    void recordReport(NodeId peer, long revision, long version) {
         if (!state.startup().done()) {
-            setStartup(state.startup().withPeerRevision(peer, revision), state.unready());
+            ConfigState.Reported report = new ConfigState.Reported(revision, version);
+            setStartup(state.startup().withReport(peer, report), state.unready());
         }
     }
 
--- a/core/src/main/java/org/fuchsiadeck/core/config/ConfigState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/ConfigState.java
@@ -228,6 +228,22 @@
         }
     }
 
+    /**
+     * A configuration that a peer has in force.
+     *
+     * @param revision its revision; 0 for none
+     * @param version the version of its document; 0 if it is not known
+     */
+    record Reported(long revision, long version) {
+        boolean isNewerThan(Configuration configuration) {
+            return Configuration.isNewer(revision, version, configuration.revision(), configuration.version());
+        }
+
+        Reported newer(Reported other) {
+            return Configuration.isNewer(other.revision, other.version, revision, version) ? other : this;
+        }
+    }
+
     /**
      * Answers of the key-value service and of peers that a starting node needs before it serves callers.
      *
@@ -235,7 +251,7 @@
      * @param sinceMs when the node started, in monotonic milliseconds
      * @param platformHeard whether the key-value service has answered a read
      * @param platformRevision the newest revision that the key-value service returned; 0 for none
-     * @param heard the newest revision reported by each peer; empty once the node is ready
+     * @param heard the newest configuration reported by each peer; empty once the node is ready
      * @param nextQueryMs when the next queries to peers are due, in monotonic milliseconds
      */
     record StartupProgress(
@@ -243,7 +259,7 @@
             long sinceMs,
             boolean platformHeard,
             long platformRevision,
-            Map<NodeId, Long> heard,
+            Map<NodeId, Reported> heard,
             long nextQueryMs) {
         StartupProgress {
             heard = Map.copyOf(heard);
@@ -253,10 +269,10 @@
             return new StartupProgress(done, sinceMs, true, Math.max(platformRevision, revision), heard, nextQueryMs);
         }
 
-        StartupProgress withPeerRevision(NodeId peer, long revision) {
-            Map<NodeId, Long> revisions = new HashMap<>(heard);
-            revisions.merge(peer, revision, Math::max);
-            return new StartupProgress(done, sinceMs, platformHeard, platformRevision, revisions, nextQueryMs);
+        StartupProgress withReport(NodeId peer, Reported report) {
+            Map<NodeId, Reported> reports = new HashMap<>(heard);
+            reports.merge(peer, report, Reported::newer);
+            return new StartupProgress(done, sinceMs, platformHeard, platformRevision, reports, nextQueryMs);
         }
 
         StartupProgress withNextQueryMs(long ms) {
--- a/core/src/main/java/org/fuchsiadeck/core/config/PeerExchange.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/PeerExchange.java
@@ -59,7 +59,7 @@
         } else if (message instanceof ConfigMessage.Query query) {
             CurrencyChecks.onQuery(reduction, from, query.number());
         } else if (message instanceof ConfigMessage.Offer offer) {
-            reduction.recordPeerRevision(from, offer.revision());
+            reduction.recordReport(from, offer.revision(), 0);
             onOffer(reduction, from, offer);
         } else if (reduction.revision() > 0) {
             reduction.send(
@@ -84,12 +84,11 @@
         long version = announce.version();
         long ownRevision = reduction.revision();
         long ownVersion = reduction.state().current().version();
+        reduction.recordReport(from, revision, version);
         if (Configuration.isNewer(ownRevision, ownVersion, revision, version)) {
-            reduction.recordPeerRevision(from, Math.min(revision, ownRevision));
             reduction.send(from, reduction.announcement(0, 0));
             return;
         }
-        reduction.recordPeerRevision(from, revision);
         boolean earlierEra = Position.era(revision) < Position.era(ownRevision);
         boolean unhandled = earlierEra || revision > reduction.newestHandledRevision();
         ConfigState.ExchangeState exchange = reduction.state().exchange();
--- a/core/src/main/java/org/fuchsiadeck/core/config/Readiness.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/Readiness.java
@@ -32,28 +32,34 @@
 
     private static List<String> unreadyReasons(ConfigReduction reduction, ConfigState.StartupProgress startup) {
         Map<NodeId, Peers.Peer> alive = reduction.view.peers().alive();
-        List<Long> peerRevisions = startup.heard().entrySet().stream()
+        List<ConfigState.Reported> reports = startup.heard().entrySet().stream()
                 .filter(entry -> alive.containsKey(entry.getKey()))
                 .map(Map.Entry::getValue)
                 .toList();
-        long newest = Math.max(
-                startup.platformRevision(),
-                peerRevisions.stream().mapToLong(revision -> revision).max().orElse(0));
+        Configuration current = reduction.state().current();
+        ConfigState.Candidate candidate = reduction.state().candidate();
+        long unread = Math.max(current.revision(), candidate.older()) < startup.platformRevision()
+                ? startup.platformRevision()
+                : 0;
+        long missing = reports.stream()
+                .filter(r -> r.isNewerThan(current))
+                .mapToLong(ConfigState.Reported::revision)
+                .reduce(unread, Math::max);
         List<String> reasons = new ArrayList<>();
         if (reduction.revision() == 0) {
             reasons.add(
-                    startup.platformHeard() && newest == 0
+                    startup.platformHeard() && missing == 0
                             ? "the platform's service holds no configuration"
                             : "no configuration is known");
         }
-        if (Math.max(reduction.revision(), reduction.state().candidate().older()) < newest) {
-            boolean rejected = reduction.state().candidate().rejected() >= newest;
-            reasons.add("configuration " + newest + " is not in force here"
+        if (missing > 0) {
+            boolean rejected = candidate.rejected() >= missing;
+            reasons.add("configuration " + missing + " is not in force here"
                     + (rejected ? ": it could not be read" : " yet"));
         }
-        if (!startup.platformHeard() && !hasEnoughPeers(reduction, startup, peerRevisions.size())) {
+        if (!startup.platformHeard() && !hasEnoughPeers(reduction, startup, reports.size())) {
             reasons.add("the platform's service has not answered, and of " + alive.size() + " peers only "
-                    + peerRevisions.size() + " have");
+                    + reports.size() + " have");
         }
         return reasons;
     }
--- a/core/src/test/java/org/fuchsiadeck/core/config/ConfigCluster.java
+++ b/core/src/test/java/org/fuchsiadeck/core/config/ConfigCluster.java
@@ -102,11 +102,18 @@
 
     private record ScheduledAction(long atMs, long order, Runnable action) {}
 
-    /** A node, with the newest revision that each peer reported before the node was ready. */
+    /** A configuration that a peer has. */
+    private record Report(long revision, long version) {
+        Report newer(Report other) {
+            return Configuration.isNewer(other.revision, other.version, revision, version) ? other : this;
+        }
+    }
+
+    /** A node, with the newest configuration that each peer reported before the node was ready. */
     static final class Node {
         final Identity self;
         ConfigState state = ConfigState.initial();
-        final TreeMap<NodeId, Long> peerRevisions = new TreeMap<>();
+        final TreeMap<NodeId, Report> reports = new TreeMap<>();
 
         /** The time until which the event loop handles nothing, as on a node without processor time. */
         long stalledUntilMs;
@@ -256,29 +263,32 @@
         }
         Step<ConfigState> step = reducer.reduce(node.state, view(node), event);
         node.state = step.state();
-        assertThat(node.state.current().version()).isGreaterThanOrEqualTo(before.version());
-        if (!wasReady && node.state.unready().isEmpty() && era == 0) {
-            assertThat(node.state.current().revision()).isGreaterThanOrEqualTo(Math.max(1, newestFromLivePeers(node)));
+        Configuration after = node.state.current();
+        assertThat(before.isNewerThan(after)).isFalse();
+        if (!wasReady && node.state.unready().isEmpty()) {
+            assertThat(after.revision()).isPositive();
+            assertThat(reportsOfLivePeers(node))
+                    .noneMatch(
+                            r -> Configuration.isNewer(r.revision(), r.version(), after.revision(), after.version()));
         }
         step.effects().forEach(e -> run(id, e));
     }
 
     private static void recordReportedRevision(Node node, Event event) {
         if (event instanceof PeerReceived p && p.message() instanceof ConfigMessage.Announce a) {
-            node.peerRevisions.merge(p.from(), a.revision(), Math::max);
+            node.reports.merge(p.from(), new Report(a.revision(), a.version()), Report::newer);
         }
         if (event instanceof PeerReceived p && p.message() instanceof ConfigMessage.Offer o) {
-            node.peerRevisions.merge(p.from(), o.revision(), Math::max);
+            node.reports.merge(p.from(), new Report(o.revision(), versionOf(o.value())), Report::newer);
         }
     }
 
-    /** Returns the newest revision that a peer which is still alive has reported to a node. */
-    private long newestFromLivePeers(Node node) {
-        return node.peerRevisions.entrySet().stream()
+    /** Returns the newest configuration that each peer which is still alive has reported to a node. */
+    private List<Report> reportsOfLivePeers(Node node) {
+        return node.reports.entrySet().stream()
                 .filter(e -> nodes.containsKey(e.getKey()))
-                .mapToLong(e -> e.getValue())
-                .max()
-                .orElse(0);
+                .map(Map.Entry::getValue)
+                .toList();
     }
 
     private View view(Node node) {
@@ -313,10 +323,14 @@
         }
     }
 
+    private static long versionOf(String value) {
+        return Long.parseLong(value.substring(1));
+    }
+
     private static ConfigEvent parse(ConfigEffect.Parse p) {
         Configuration configuration = new Configuration(
                 p.revision(),
-                Long.parseLong(p.value().substring(1)),
+                versionOf(p.value()),
                 Policy.DEFAULT,
                 List.of(),
                 List.of(),
--- a/core/src/test/java/org/fuchsiadeck/core/config/ServiceRestoredFromAnOlderCopyTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/config/ServiceRestoredFromAnOlderCopyTest.java
@@ -27,7 +27,8 @@
         CUT_OFF,
         STALLED,
         RESTARTS,
-        ALL_RESTARTED
+        ALL_RESTARTED,
+        RESTARTS_AFTER_THE_RETURN
     }
 
     @ParameterizedTest
@@ -47,7 +48,10 @@
         "RESTARTS, 60, 13",
         "RESTARTS, 370, 14",
         "ALL_RESTARTED, 8, 15",
-        "ALL_RESTARTED, 60, 16"
+        "ALL_RESTARTED, 60, 16",
+        "RESTARTS_AFTER_THE_RETURN, 8, 17",
+        "RESTARTS_AFTER_THE_RETURN, 60, 18",
+        "RESTARTS_AFTER_THE_RETURN, 370, 19"
     })
     void appliesWhatIsWrittenAfterTheReturn(Trouble trouble, int nodes, long seed) {
         ConfigCluster cluster = new ConfigCluster(seed);
@@ -74,6 +78,9 @@
         cluster.runFor(OUTAGE_MS / 2);
         cluster.restore(lostChanges);
         cluster.outage = false;
+        if (trouble == Trouble.RESTARTS_AFTER_THE_RETURN) {
+            restartThird(cluster);
+        }
         cluster.runFor(REWRITE_DELAY_MS);
         cluster.publishAgain();
         cluster.runFor(MAX_APPLY_MS);
@@ -112,4 +119,12 @@
             default -> {}
         }
     }
+
+    private static void restartThird(ConfigCluster cluster) {
+        List<NodeId> ids = List.copyOf(cluster.nodes.keySet());
+        for (int i = 0; i < ids.size(); i += 3) {
+            cluster.stop(ids.get(i));
+            cluster.start();
+        }
+    }
 }
