Show that the service came back from an older copy

Operators saw nothing of a return but its consequences: no log line named it and no metric changed, and the page of failures still said that nodes keep their configuration until it is applied again.

Each node logs PLATFORM_RESTORED once for each new era in which it reads the configuration; platform_era shows the era. Two comments in Losses and ConfigurationSource say what they mean in plainer words.

--- a/core/src/main/java/org/fuchsiadeck/core/EventCode.java
+++ b/core/src/main/java/org/fuchsiadeck/core/EventCode.java
@@ -64,6 +64,7 @@
             "The service came back with an older configuration than the one in force, which is kept."),
     PLATFORM_UNAVAILABLE(4101, Level.WARN, "The platform's service does not answer."),
     PLATFORM_AVAILABLE(4102, Level.INFO, "The platform's service answers again."),
+    PLATFORM_RESTORED(4103, Level.WARN, "The platform's service came back from an older copy."),
     DUTY_TAKEN(4201, Level.INFO, "The node became leader and performs the duties towards the platform."),
     DUTY_LOST(4202, Level.WARN, "The node is no longer leader and performs no duties towards the platform."),
     DUTY_CALL_FAILED(4203, Level.WARN, "A call for a duty did not take effect."),
--- a/core/src/main/java/org/fuchsiadeck/core/config/ConfigReduction.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/ConfigReduction.java
@@ -13,6 +13,7 @@
 import org.fuchsiadeck.core.model.NodeId;
 import org.fuchsiadeck.core.model.Peers;
 import org.fuchsiadeck.core.model.SplitMix64;
+import org.fuchsiadeck.core.platform.Position;
 
 /**
  * Collects the next state and the effects while one event of the configuration is reduced.
@@ -178,6 +179,12 @@
 
     /** Records the newest revision that an answer of the key-value service names, and when it was asked. */
     void recordNewest(long revision, long askedMs) {
+        long era = Position.era(state.currency().revision());
+        if (era < Position.era(revision) && state.currency().revision() > 0) {
+            log(
+                    EventCode.PLATFORM_RESTORED,
+                    "reading " + ConfigReducer.KEY + ": expected era " + era + ", got era " + Position.era(revision));
+        }
         setCurrency(state.currency().withAnswer(revision, askedMs));
     }
 
--- a/core/src/main/java/org/fuchsiadeck/core/quarantine/Losses.java
+++ b/core/src/main/java/org/fuchsiadeck/core/quarantine/Losses.java
@@ -16,7 +16,7 @@
  * @param byAttempt the losses by attempt
  * @param byPart the losses of each part, by attempt
  * @param byServer the losses at each server, by attempt
- * @param seen the time at which each attempt was first heard of, in milliseconds, also of losses that were cleared since
+ * @param seen the time at which the loss of each attempt first arrived, in milliseconds; cleared losses are included
  */
 public record Losses(
         Map<Attempt, PromptLoss> byAttempt,
@@ -54,8 +54,8 @@
     }
 
     /**
-     * Returns whether a loss was heard of before, even if it was cleared since. Each node that passes a loss on makes it look
-     * later by the time that the message took, so that its times don't show that it was cleared.
+     * Returns whether a loss has arrived before, even if it was cleared since. Times are sent as ages, which do not include the
+     * time of the message, so that a copy that arrives later cannot be compared with the answer that cleared the loss.
      */
     boolean isSeen(PromptLoss loss) {
         return seen.containsKey(Attempt.of(loss));
--- a/core/src/test/java/org/fuchsiadeck/core/config/ServiceRestoredFromAnOlderCopyTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/config/ServiceRestoredFromAnOlderCopyTest.java
@@ -3,7 +3,9 @@
 import java.util.List;
 import java.util.stream.IntStream;
 
+import org.fuchsiadeck.core.EventCode;
 import org.fuchsiadeck.core.model.NodeId;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -20,6 +22,7 @@
     private static final long OUTAGE_MS = 2_000;
     private static final long REWRITE_DELAY_MS = 500;
     private static final int CHANGES = 6;
+    private static final int NODES = 8;
 
     private enum Trouble {
         NONE,
@@ -71,6 +74,22 @@
         assertThat(cluster.runUntilApplied(MAX_APPLY_MS)).isLessThan(MAX_APPLY_MS);
     }
 
+    @Test
+    void everyNodeLogsEachReturnOnce() {
+        ConfigCluster cluster = new ConfigCluster(1);
+        cluster.publishRevision();
+        for (int i = 0; i < NODES; i++) {
+            cluster.start();
+        }
+        cluster.runFor(5_000);
+        cluster.publishRevision();
+        cluster.publishRevision();
+        goBack(cluster, Trouble.NONE, 1);
+        goBack(cluster, Trouble.NONE, 1);
+        assertThat(cluster.logs.stream().filter(EventCode.PLATFORM_RESTORED::equals))
+                .hasSize(2 * NODES);
+    }
+
     private static void goBack(ConfigCluster cluster, Trouble trouble, int lostChanges) {
         cluster.outage = true;
         cluster.runFor(OUTAGE_MS / 2);
--- a/node/src/main/java/org/fuchsiadeck/node/Node.java
+++ b/node/src/main/java/org/fuchsiadeck/node/Node.java
@@ -27,6 +27,7 @@
 import org.fuchsiadeck.core.model.BackendId;
 import org.fuchsiadeck.core.platform.PlatformEffect;
 import org.fuchsiadeck.core.platform.PlatformEvent;
+import org.fuchsiadeck.core.platform.Position;
 import org.fuchsiadeck.core.request.RequestCounters;
 import org.fuchsiadeck.core.request.RequestEffect;
 import org.fuchsiadeck.core.routing.BackendStatus;
@@ -153,6 +154,9 @@
         metrics.registerGauge(DumpJson.BUFFERED_BYTES, budget::held);
         metrics.registerGauge("front.connections", callers::connections);
         metrics.registerGauge("config.age_ms", configurationSource()::ageMs);
+        metrics.registerGauge(
+                "platform.era",
+                () -> Position.era(loop.state().config().currency().revision()));
         metrics.registerGauge(
                 "servers.list_age_ms", () -> loop.state().directory().history().ageMs(loop.nowMs()));
         metrics.registerGauge(
--- a/node/src/main/java/org/fuchsiadeck/node/front/ConfigurationSource.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/ConfigurationSource.java
@@ -22,7 +22,7 @@
     long ageMs();
 
     /**
-     * Returns the time by which requests are measured here.
+     * Returns the present time of the clock that gives the arrival of requests.
      *
      * @return monotonic milliseconds
      */
--- a/node/src/main/java/org/fuchsiadeck/node/platform/HttpAnswer.java
+++ b/node/src/main/java/org/fuchsiadeck/node/platform/HttpAnswer.java
@@ -1,6 +1,8 @@
 package org.fuchsiadeck.node.platform;
 
+import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 import static java.util.Objects.requireNonNull;
@@ -30,4 +32,14 @@
     public HttpAnswer(int status, String body, OptionalLong retryAfterMs) {
         this(status, body, retryAfterMs, Map.of());
     }
+
+    /**
+     * Returns a header.
+     *
+     * @param name the name of the header, in any case
+     * @return the value, if the answer has the header
+     */
+    public Optional<String> header(String name) {
+        return Optional.ofNullable(headers.get(name.toLowerCase(Locale.ROOT)));
+    }
 }
