Add the switch and the interfaces of shared scheduling

Cause: nodes place requests by their own counts alone, and treat all servers as equally fast and other zones as equally expensive. The parts that change this need common interfaces.

Change: the policy value shared_scheduling (default 0); the slowdown that servers report in their load; ServerEstimates, from which AffinityRouter takes speed, prefill rate and zone cost.

Result: no decision changes yet: the defaults are the constants used before.

--- a/core/src/main/java/org/fuchsiadeck/core/config/Policy.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/Policy.java
@@ -21,6 +21,7 @@
  * @param earlySharePercent largest share of requests that a new version gets before its verdict, in percent
  * @param claimLifetimeMs how long a claim on an idempotency key is kept, in milliseconds
  * @param weight relative weight of the subject among others of its kind in routing scores and shares
+ * @param sharedScheduling 1 if requests are scheduled by what all nodes know of the servers together, otherwise 0
  */
 public record Policy(
         long connectTimeoutMs,
@@ -36,10 +37,11 @@
         long leavingGraceMs,
         int earlySharePercent,
         long claimLifetimeMs,
-        int weight) {
+        int weight,
+        int sharedScheduling) {
     /** The values that apply where a configuration sets none. */
     public static final Policy DEFAULT =
-            new Policy(300, 5_000, 2_000, 60_000, 1_000, 3, 10, 32, 256, 2_000, 500, 5, 600_000, 100);
+            new Policy(300, 5_000, 2_000, 60_000, 1_000, 3, 10, 32, 256, 2_000, 500, 5, 600_000, 100, 0);
 
     public Policy {
         PolicyField.CONNECT_TIMEOUT_MS.check(connectTimeoutMs);
@@ -56,6 +58,7 @@
         PolicyField.EARLY_SHARE_PERCENT.check(earlySharePercent);
         PolicyField.CLAIM_LIFETIME_MS.check(claimLifetimeMs);
         PolicyField.WEIGHT.check(weight);
+        PolicyField.SHARED_SCHEDULING.check(sharedScheduling);
     }
 
     /**
@@ -98,6 +101,7 @@
                 values[10],
                 (int) values[11],
                 values[12],
-                (int) values[13]);
+                (int) values[13],
+                (int) values[14]);
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/config/PolicyField.java
+++ b/core/src/main/java/org/fuchsiadeck/core/config/PolicyField.java
@@ -29,7 +29,8 @@
     LEAVING_GRACE_MS(Unit.MILLISECONDS, 0, PolicyField.MAX_MS, Policy::leavingGraceMs),
     EARLY_SHARE_PERCENT(Unit.PERCENT, 0, 100, Policy::earlySharePercent),
     CLAIM_LIFETIME_MS(Unit.MILLISECONDS, 1_000, PolicyField.MAX_MS, Policy::claimLifetimeMs),
-    WEIGHT(Unit.COUNT, 1, 10_000, Policy::weight);
+    WEIGHT(Unit.COUNT, 1, 10_000, Policy::weight),
+    SHARED_SCHEDULING(Unit.COUNT, 0, 1, Policy::sharedScheduling);
 
     private static final long MAX_MS = 86_400_000;
     private static final Map<String, PolicyField> BY_KEY =
--- a/core/src/main/java/org/fuchsiadeck/core/model/BackendReport.java
+++ b/core/src/main/java/org/fuchsiadeck/core/model/BackendReport.java
@@ -52,11 +52,35 @@
      * @param running the number of requests that it is processing
      * @param queued the number of requests in its queue
      * @param ageMs the age of the figures when the server sent them, in milliseconds
+     * @param slowdown how long work takes at present, relative to the server's usual time; empty if not reported
      */
-    public record Load(int running, int queued, long ageMs) {
+    public record Load(int running, int queued, long ageMs, OptionalDouble slowdown) {
+        /** Least slowdown that a server can report. */
+        public static final double MIN_SLOWDOWN = 0.01;
+
+        /** Greatest slowdown that a server can report. */
+        public static final double MAX_SLOWDOWN = 100;
+
         public Load {
             Checks.inRange(running, 0, Integer.MAX_VALUE, "running");
             Checks.inRange(queued, 0, Integer.MAX_VALUE, "queued");
+            slowdown.ifPresent(s -> Checks.finiteNotNegative(s, "slowdown"));
+            if (slowdown.isPresent()
+                    && (slowdown.getAsDouble() < MIN_SLOWDOWN || slowdown.getAsDouble() > MAX_SLOWDOWN)) {
+                throw new IllegalArgumentException("slowdown must be between " + MIN_SLOWDOWN + " and " + MAX_SLOWDOWN
+                        + ", got " + slowdown.getAsDouble());
+            }
+        }
+
+        /**
+         * Creates the load of a server that reports no slowdown.
+         *
+         * @param running the number of requests that it is processing
+         * @param queued the number of requests in its queue
+         * @param ageMs the age of the figures when the server sent them, in milliseconds
+         */
+        public Load(int running, int queued, long ageMs) {
+            this(running, queued, ageMs, OptionalDouble.empty());
         }
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/request/Dispatcher.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Dispatcher.java
@@ -16,6 +16,7 @@
 import org.fuchsiadeck.core.routing.PlacementFinder.Availability;
 import org.fuchsiadeck.core.routing.PlacementFinder.PlacementResult;
 import org.fuchsiadeck.core.routing.RoutingContext;
+import org.fuchsiadeck.core.routing.ServerEstimates;
 import org.fuchsiadeck.core.share.ShareEvent;
 
 /**
@@ -42,7 +43,8 @@
                 prompt(request),
                 b -> reduction.view().usage().inFlightElsewhere(reduction.nowMs(), b.id()),
                 b -> reduction.view().usage().unreadElsewhere(reduction.nowMs(), b.id()),
-                reduction.view().peers().alive().size() + 1);
+                reduction.view().peers().alive().size() + 1,
+                ServerEstimates.standard(reduction.view().self().zone()));
         ToIntFunction<Backend> max = b -> Policies.of(reduction, b).backendConcurrency();
         return new PlacementFinder(reduction.state().fleet(), reduction.view().shares(), reduction.router(), max)
                 .find(request.wanted(), query);
--- a/core/src/main/java/org/fuchsiadeck/core/routing/AffinityRouter.java
+++ b/core/src/main/java/org/fuchsiadeck/core/routing/AffinityRouter.java
@@ -9,7 +9,6 @@
 
 import io.vavr.control.Option;
 import org.fuchsiadeck.core.model.BackendId;
-import org.fuchsiadeck.core.model.EngineTime;
 import org.fuchsiadeck.core.model.Rendezvous;
 
 /**
@@ -51,9 +50,6 @@
      */
     private static final double WITHIN_SLACK_WEIGHT = 0.1;
 
-    /** Cost of using another availability zone, in milliseconds: the network round trip and the price of the bytes. */
-    private static final double ZONE_MS = 2;
-
     @Override
     public Option<Choice> choose(Candidates candidates, RoutingContext context) {
         List<BackendId> owners = owners(candidates, context);
@@ -99,15 +95,17 @@
     }
 
     private static double costMs(BackendStatus server, RoutingContext context, List<BackendId> owners) {
-        double weight = context.weight().applyAsDouble(server.backend());
+        ServerEstimates estimates = context.estimates();
+        double weight = context.weight().applyAsDouble(server.backend())
+                * estimates.speed().applyAsDouble(server.backend());
         int inFlightElsewhere = context.inFlightElsewhere().applyAsInt(server.backend());
         double inFlight = server.inFlight() + Math.max(0, inFlightElsewhere);
-        double zone = server.backend().zone().equals(context.zone()) ? 0 : ZONE_MS;
+        double zone = estimates.zoneCostMs().applyAsDouble(server.backend());
         double aboveSlots = Math.max(0, inFlight - server.backend().slots());
         double unreadAhead = server.unread() + context.unreadElsewhere().applyAsInt(server.backend());
         double waitMs =
-                ((inFlight + aboveSlots) * BUSY_MS + unreadAhead / EngineTime.PREFILL_TOKENS_PER_MS) / weight + zone;
-        double readMs = unread(server, context, owners) / EngineTime.PREFILL_TOKENS_PER_MS / weight;
+                ((inFlight + aboveSlots) * BUSY_MS + unreadAhead / estimates.prefillTokensPerMs()) / weight + zone;
+        double readMs = unread(server, context, owners) / estimates.prefillTokensPerMs() / weight;
         double slackMs = SLACK * context.targetMs();
         return readMs + Math.max(0, waitMs - slackMs) + WITHIN_SLACK_WEIGHT * Math.min(waitMs, slackMs);
     }
--- a/core/src/main/java/org/fuchsiadeck/core/routing/Fleet.java
+++ b/core/src/main/java/org/fuchsiadeck/core/routing/Fleet.java
@@ -26,6 +26,7 @@
  * @param peers the other nodes for which the pools were computed
  * @param sent the prompt prefixes that this node sent to each server
  * @param limits the rates of requests that servers accept from all nodes together
+ * @param slowdownServices the services of which a server has reported a slowdown to this node
  */
 public record Fleet(
         Map<BackendId, BackendStatus> servers,
@@ -33,10 +34,17 @@
         Map<Need, Pool> pools,
         Peers peers,
         SentPrefixes sent,
-        Map<BackendId, ServerLimit> limits) {
+        Map<BackendId, ServerLimit> limits,
+        Set<String> slowdownServices) {
     /** The fleet of a node that does not know any server yet. */
     public static final Fleet EMPTY = new Fleet(
-            HashMap.empty(), HashMap.empty(), HashMap.empty(), Peers.NONE, SentPrefixes.EMPTY, HashMap.empty());
+            HashMap.empty(),
+            HashMap.empty(),
+            HashMap.empty(),
+            Peers.NONE,
+            SentPrefixes.EMPTY,
+            HashMap.empty(),
+            HashSet.empty());
 
     /** Maximum number of cached pools. They must be bounded because callers can name any model. */
     private static final int MAX_POOLS = 256;
@@ -68,7 +76,7 @@
             }
         }
         Map<BackendId, ServerLimit> current = limits.filterKeys(id -> ids.contains(id) || !servers.containsKey(id));
-        return new Fleet(next, leaving, HashMap.empty(), peers, sent, current);
+        return new Fleet(next, leaving, HashMap.empty(), peers, sent, current, slowdownServices);
     }
 
     /**
@@ -96,7 +104,8 @@
      */
     public Fleet withReport(BackendId id, BackendReport report, long nowMs) {
         Fleet next = report.load()
-                .map(l -> update(id, s -> s.withLoad(ReportedLoad.of(l, s.inFlight(), nowMs))))
+                .map(l -> update(id, s -> s.withLoad(ReportedLoad.of(l, s.inFlight(), nowMs)))
+                        .withSlowdownOf(id, l))
                 .orElse(this);
         if (!report.leaving()) {
             return next;
@@ -105,6 +114,24 @@
         return next.withDeparture(id, departure.asAnnounced());
     }
 
+    private Fleet withSlowdownOf(BackendId id, BackendReport.Load load) {
+        Option<String> service = servers.get(id).map(s -> s.backend().service());
+        if (load.slowdown().isEmpty() || service.isEmpty() || slowdownServices.contains(service.get())) {
+            return this;
+        }
+        return new Fleet(servers, departures, pools, peers, sent, limits, slowdownServices.add(service.get()));
+    }
+
+    /**
+     * Returns whether servers of a service report how long work takes at present.
+     *
+     * @param service the name of the service
+     * @return whether a server of the service has ever reported a slowdown to this node
+     */
+    public boolean reportsSlowdown(String service) {
+        return slowdownServices.contains(service);
+    }
+
     /**
      * Updates the status of a server. A server that is neither listed nor in use is removed, unless it asked for a
      * pause: it may be listed again, and the pause must then still apply.
@@ -122,7 +149,7 @@
                 || server.get().inFlight() > 0
                 || server.get().pausedUntilMs() > Long.MIN_VALUE;
         Map<BackendId, BackendStatus> next = retained ? servers.put(id, server.get()) : servers.remove(id);
-        return new Fleet(next, departures, pools, peers, sent, limits);
+        return new Fleet(next, departures, pools, peers, sent, limits, slowdownServices);
     }
 
     /**
@@ -136,7 +163,7 @@
         if (prefixHashes.isEmpty()) {
             return this;
         }
-        return new Fleet(servers, departures, pools, peers, sent.withSent(prefixHashes, id), limits);
+        return new Fleet(servers, departures, pools, peers, sent.withSent(prefixHashes, id), limits, slowdownServices);
     }
 
     /**
@@ -165,7 +192,8 @@
         for (Array<Backend> sameVersion : matching.groupBy(Backend::version).values()) {
             assigned = assigned.appendAll(Subset.of(sameVersion, self.id(), others));
         }
-        return new Fleet(servers, departures, retained.put(need, Pool.of(assigned)), others, sent, limits);
+        return new Fleet(
+                servers, departures, retained.put(need, Pool.of(assigned)), others, sent, limits, slowdownServices);
     }
 
     /**
@@ -263,10 +291,10 @@
     }
 
     private Fleet withLimits(Map<BackendId, ServerLimit> next) {
-        return new Fleet(servers, departures, pools, peers, sent, next);
+        return new Fleet(servers, departures, pools, peers, sent, next, slowdownServices);
     }
 
     private Fleet withDeparture(BackendId id, Departure departure) {
-        return new Fleet(servers, departures.put(id, departure), pools, peers, sent, limits);
+        return new Fleet(servers, departures.put(id, departure), pools, peers, sent, limits, slowdownServices);
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/routing/RoutingContext.java
+++ b/core/src/main/java/org/fuchsiadeck/core/routing/RoutingContext.java
@@ -26,6 +26,7 @@
  * @param unreadElsewhere returns the prompt tokens that a server has yet to process for other nodes, by their last
  *     reports
  * @param nodeCount the number of entry nodes that choose among the same servers, including this one
+ * @param estimates the speed of servers and the cost of reaching them
  */
 public record RoutingContext(
         long nowMs,
@@ -39,7 +40,8 @@
         PromptLengths prompt,
         ToIntFunction<Backend> inFlightElsewhere,
         ToIntFunction<Backend> unreadElsewhere,
-        int nodeCount) {
+        int nodeCount,
+        ServerEstimates estimates) {
     public RoutingContext {
         requireNonNull(zone, "zone");
         prefixHashes = List.copyOf(prefixHashes);
@@ -48,6 +50,7 @@
         requireNonNull(prompt, "prompt");
         requireNonNull(inFlightElsewhere, "inFlightElsewhere");
         requireNonNull(unreadElsewhere, "unreadElsewhere");
+        requireNonNull(estimates, "estimates");
     }
 
     /**
@@ -84,7 +87,20 @@
             long seed,
             long previousChoices,
             ToDoubleFunction<Backend> weight) {
-        this(nowMs, zone, prefixHashes, sent, seed, previousChoices, weight, 0, PromptLengths.NONE, b -> -1, b -> 0, 1);
+        this(
+                nowMs,
+                zone,
+                prefixHashes,
+                sent,
+                seed,
+                previousChoices,
+                weight,
+                0,
+                PromptLengths.NONE,
+                b -> -1,
+                b -> 0,
+                1,
+                ServerEstimates.standard(zone));
     }
 
     /**
--- /dev/null
+++ b/core/src/main/java/org/fuchsiadeck/core/routing/ServerEstimates.java
@@ -0,0 +1,38 @@
+package org.fuchsiadeck.core.routing;
+
+import java.util.function.ToDoubleFunction;
+
+import org.fuchsiadeck.core.model.Backend;
+import org.fuchsiadeck.core.model.EngineTime;
+import org.fuchsiadeck.core.model.Zone;
+
+import static java.util.Objects.requireNonNull;
+
+/**
+ * Estimates of how fast backend servers work and what it costs to reach them.
+ *
+ * @param prefillTokensPerMs prompt tokens that a server of usual speed processes per millisecond
+ * @param speed returns a server's speed relative to the usual one of its service; greater than 0
+ * @param zoneCostMs returns the cost of using a server because of its availability zone, in milliseconds
+ */
+public record ServerEstimates(
+        double prefillTokensPerMs, ToDoubleFunction<Backend> speed, ToDoubleFunction<Backend> zoneCostMs) {
+    /** Cost of using another availability zone, in milliseconds: the network round trip and the price of the bytes. */
+    private static final double OTHER_ZONE_MS = 2;
+
+    public ServerEstimates {
+        requireNonNull(speed, "speed");
+        requireNonNull(zoneCostMs, "zoneCostMs");
+    }
+
+    /**
+     * Returns the estimates that apply where nothing is measured: equal speeds, and a constant cost of other zones.
+     *
+     * @param own the availability zone of the node
+     * @return the estimates
+     */
+    public static ServerEstimates standard(Zone own) {
+        return new ServerEstimates(
+                EngineTime.PREFILL_TOKENS_PER_MS, b -> 1, b -> b.zone().equals(own) ? 0 : OTHER_ZONE_MS);
+    }
+}
--- a/core/src/test/java/org/fuchsiadeck/core/claim/ClaimPropertyTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/claim/ClaimPropertyTest.java
@@ -202,7 +202,8 @@
                 p.leavingGraceMs(),
                 p.earlySharePercent(),
                 lifetimeMs,
-                p.weight());
+                p.weight(),
+                0);
         SimulatedNodes simulation =
                 new SimulatedNodes(seed, new Configuration(1, policy, List.of(), List.of(), List.of()));
         for (int i = 0; i < count; i++) {
--- a/core/src/test/java/org/fuchsiadeck/core/request/LeavingAndPausedServersTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/request/LeavingAndPausedServersTest.java
@@ -32,7 +32,7 @@
 
     @BeforeEach
     void start() {
-        node.policy = new Policy(300, 5_000, 2_000, 60_000, 1_000, 3, 100, 32, 256, 2_000, 500, 5, 600_000, 100);
+        node.policy = new Policy(300, 5_000, 2_000, 60_000, 1_000, 3, 100, 32, 256, 2_000, 500, 5, 600_000, 100, 0);
         node.listBackends(app("a1"), app("a2"));
     }
 
--- a/core/src/test/java/org/fuchsiadeck/core/request/LimitsTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/request/LimitsTest.java
@@ -193,6 +193,6 @@
 
     private static Policy policy(int concurrency, int queueLimit) {
         return new Policy(
-                300, 5_000, 2_000, 60_000, 1_000, 3, 10, concurrency, queueLimit, 2_000, 500, 5, 600_000, 100);
+                300, 5_000, 2_000, 60_000, 1_000, 3, 10, concurrency, queueLimit, 2_000, 500, 5, 600_000, 100, 0);
     }
 }
--- a/core/src/test/java/org/fuchsiadeck/core/request/ReducerBenchmark.java
+++ b/core/src/test/java/org/fuchsiadeck/core/request/ReducerBenchmark.java
@@ -149,7 +149,7 @@
     }
 
     private static Policy policy() {
-        return new Policy(300, 5_000, 2_000, 60_000, 1_000, 3, 10, concurrency, 256, 2_000, 500, 5, 600_000, 100);
+        return new Policy(300, 5_000, 2_000, 60_000, 1_000, 3, 10, concurrency, 256, 2_000, 500, 5, 600_000, 100, 0);
     }
 
     private static Backend backend(int i, String version) {
--- a/core/src/test/java/org/fuchsiadeck/core/request/RequestReducerTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/request/RequestReducerTest.java
@@ -183,7 +183,7 @@
 
     @Test
     void answersUnknownWhenTheDeadlinePassesWithoutAnAttemptResult() {
-        node.policy = new Policy(60_000, 5_000, 2_000, 60_000, 1_000, 3, 10, 32, 256, 2_000, 500, 5, 600_000, 100);
+        node.policy = new Policy(60_000, 5_000, 2_000, 60_000, 1_000, 3, 10, 32, 256, 2_000, 500, 5, 600_000, 100, 0);
         node.listBackends(apps(2));
         node.arrive("r", MEAL);
         node.advance(MEAL.deadlineMs());
@@ -309,7 +309,7 @@
 
     @Test
     void answersUnfinishedRequestsBeforeTheNodeStops() {
-        node.policy = new Policy(300, 5_000, 2_000, 60_000, 1_000, 3, 10, 1, 256, 2_000, 500, 5, 600_000, 100);
+        node.policy = new Policy(300, 5_000, 2_000, 60_000, 1_000, 3, 10, 1, 256, 2_000, 500, 5, 600_000, 100, 0);
         node.listBackends(apps(1));
         node.arrive("r", MEAL);
         node.startWriting("r", 1);
--- a/core/src/test/java/org/fuchsiadeck/core/request/RouteOptionsTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/request/RouteOptionsTest.java
@@ -35,7 +35,7 @@
 
     @BeforeEach
     void start() {
-        node.policy = new Policy(300, LONG_MS, LONG_MS, LONG_MS, 1_000, 3, 10, 32, 256, 2_000, 500, 5, 600_000, 100);
+        node.policy = new Policy(300, LONG_MS, LONG_MS, LONG_MS, 1_000, 3, 10, 32, 256, 2_000, 500, 5, 600_000, 100, 0);
         node.routes = List.of(READ, POST, ONCE);
         node.listBackends(Harness.app("a1"), Harness.app("a2"), Harness.app("a3"), Harness.engine("e1", "v1"));
     }
--- a/core/src/test/java/org/fuchsiadeck/core/routing/AffinityRouterTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/routing/AffinityRouterTest.java
@@ -67,7 +67,8 @@
                             tokens.stream().mapToInt(t -> t).max().orElse(0), tokens),
                     b -> b.id().hashCode() % 4,
                     b -> 0,
-                    nodes);
+                    nodes,
+                    ServerEstimates.standard(ZONE));
             Choice choice = Router.affinity().choose(candidates, context).get();
             placements.merge(choice.server().backend().id(), 1, Integer::sum);
         }
@@ -120,7 +121,8 @@
                     prompt,
                     b -> 0,
                     unreadElsewhere,
-                    7);
+                    7,
+                    ServerEstimates.standard(ZONE));
             Choice choice = Router.affinity().choose(candidates, context).get();
             placements.merge(choice.server().backend().id(), 1, Integer::sum);
         }
