Admit teams over their quota at its rate

Cause: the limit of the quota window admits a team that sends many times its rate at once, and then next to nothing until the window has passed.

Change: with shared scheduling on, a token bucket for each team, computed by each node from the usage that nodes report anyway, limits what is admitted in half a second; the window stays in force. Retry-After of requests that are not drawn follows the time in which the demand drains.

--- a/core/src/main/java/org/fuchsiadeck/core/request/Quotas.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Quotas.java
@@ -8,6 +8,7 @@
 import org.fuchsiadeck.core.config.Team;
 import org.fuchsiadeck.core.routing.SplitMix;
 import org.fuchsiadeck.core.share.ShareEvent;
+import org.fuchsiadeck.core.share.ShareState;
 import org.fuchsiadeck.core.share.ShareState.QuotaStatus;
 
 /**
@@ -18,6 +19,9 @@
     private static final long MIN_RETRY_AFTER_MS = 100;
     private static final double MS_PER_SECOND = 1_000;
 
+    /** Longest delay that the present demand of a team leads to: it changes within seconds. */
+    private static final long MAX_DRAIN_MS = 2_000;
+
     private Quotas() {}
 
     /** Returns the refusal of a request that exceeds its team's quota, or empty if the request is admitted. */
@@ -28,19 +32,27 @@
         if (!quota.isLimited()) {
             return Optional.empty();
         }
-        QuotaStatus status = reduction.view().usage().quotaStatus(reduction.nowMs(), team.id(), quota);
+        boolean paced = SharedScheduling.isOnForAnyService(reduction);
+        ShareState usage = reduction.view().usage();
+        QuotaStatus status = paced
+                ? usage.pacedQuotaStatus(reduction.nowMs(), team.id(), quota)
+                : usage.quotaStatus(reduction.nowMs(), team.id(), quota);
         if (status.admits(units, SplitMix.toFraction(reduction.randomBits()))) {
             return Optional.empty();
         }
         reduction.raise(new ShareEvent.Refused(team.id(), units));
         long waitMs = Math.round(status.excess(units) / quota.ratePerSecond() * MS_PER_SECOND);
-        long retryMs = reduction.withJitter(Math.max(MIN_RETRY_AFTER_MS, waitMs));
+        long drainMs = Math.min(MAX_DRAIN_MS, status.drainMs());
+        long retryMs = reduction.withJitter(Math.max(MIN_RETRY_AFTER_MS, Math.max(waitMs, drainMs)));
         Map<String, Object> inputs = new LinkedHashMap<>();
         inputs.put("team", team.id());
         inputs.put("units", units);
         inputs.put("used", Math.round(status.used()));
         inputs.put("limit", Math.round(status.limit()));
         inputs.put("asked", Math.round(status.demand()));
+        if (paced) {
+            inputs.put("available", Math.round(status.available()));
+        }
         inputs.put("nodes_heard", status.reportingNodes());
         return Optional.of(new Refusal(TOO_MANY_REQUESTS, "over_quota", retryMs, inputs));
     }
--- a/core/src/main/java/org/fuchsiadeck/core/share/ShareReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/share/ShareReducer.java
@@ -118,7 +118,8 @@
         PeerUsage peerUsage = retained.plan().self().equals(view.self().id())
                 ? retained
                 : retained.with(plan(state, view, view.peers()));
-        ShareState next = withMedianClock(state.with(peerUsage), view);
+        ShareState next = withMedianClock(state.with(peerUsage), view)
+                .withBursts(now, view.config().teams());
         List<Effect> out = new ArrayList<>();
         PriorUsage.Update prior =
                 next.past().tick(now, next.own().startedMs(), next.rules().quotaWindowMs());
--- a/core/src/main/java/org/fuchsiadeck/core/share/ShareState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/share/ShareState.java
@@ -1,5 +1,6 @@
 package org.fuchsiadeck.core.share;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -9,6 +10,7 @@
 import java.util.function.ToLongFunction;
 
 import org.fuchsiadeck.core.config.Quota;
+import org.fuchsiadeck.core.config.Team;
 import org.fuchsiadeck.core.model.BackendId;
 import org.fuchsiadeck.core.model.NodeId;
 import org.fuchsiadeck.core.model.TeamId;
@@ -27,6 +29,7 @@
  * @param offsetMs the time of day minus this node's monotonic clock, in milliseconds; the median over all nodes
  * @param past the usage from before the known process runs
  * @param serversSentMs when figures of backend servers were last sent, in milliseconds
+ * @param bursts what the teams may still spend beyond the rates of their quotas
  */
 public record ShareState(
         ShareRules rules,
@@ -35,7 +38,8 @@
         int nodes,
         long offsetMs,
         PriorUsage past,
-        long serversSentMs) {
+        long serversSentMs,
+        BurstAllowances bursts) {
     /** The fraction of a quota's tolerance that is granted; the rest is reserved for nodes that decide concurrently. */
     private static final double GRANTED_TOLERANCE = 0.2;
 
@@ -67,6 +71,7 @@
         requireNonNull(own, "own");
         requireNonNull(hearing, "hearing");
         requireNonNull(past, "past");
+        requireNonNull(bursts, "bursts");
     }
 
     /**
@@ -77,7 +82,14 @@
      */
     public static ShareState initial(ShareRules rules) {
         return new ShareState(
-                rules, LocalUsage.NONE, PeerUsage.empty(UNKNOWN_SELF), 1, 0, PriorUsage.NOT_LOADED, Long.MIN_VALUE / 2);
+                rules,
+                LocalUsage.NONE,
+                PeerUsage.empty(UNKNOWN_SELF),
+                1,
+                0,
+                PriorUsage.NOT_LOADED,
+                Long.MIN_VALUE / 2,
+                BurstAllowances.NONE);
     }
 
     /**
@@ -89,8 +101,9 @@
      * @param reportingNodes the number of nodes with recent reports, including this one
      * @param demand the units that requests at all nodes have asked for recently, in about the time that a report takes
      *     to reach all nodes
+     * @param available the units that may be spent in that time; infinite if only the limit of the window applies
      */
-    public record QuotaStatus(double used, double limit, int reportingNodes, double demand) {
+    public record QuotaStatus(double used, double limit, int reportingNodes, double demand, double available) {
         /**
          * Returns by how much a request would exceed the limit.
          *
@@ -111,7 +124,16 @@
          * @return whether the request is within the limit and was drawn
          */
         public boolean admits(long units, double draw) {
-            return excess(units) <= 0 && draw * demand <= limit - used;
+            return excess(units) <= 0 && draw * demand <= Math.min(limit - used, available);
+        }
+
+        /**
+         * Returns how long it takes until the team's present demand could be admitted at the rate that is available.
+         *
+         * @return the time, in milliseconds; 0 if the demand is not limited by the rate
+         */
+        public long drainMs() {
+            return demand <= available || available <= 0 ? 0 : Math.round(RECENT_MS * demand / available);
         }
     }
 
@@ -124,8 +146,42 @@
      * @return the usage and the limit
      */
     public QuotaStatus quotaStatus(long nowMs, TeamId team, Quota quota) {
+        return status(nowMs, team, quota, Double.POSITIVE_INFINITY);
+    }
+
+    /**
+     * Returns the same where a team that has used up its burst is admitted at its rate. Otherwise a team that sends many
+     * times its rate spends the whole window at once and is refused nearly everything until the window has passed.
+     *
+     * @param nowMs the time, in milliseconds
+     * @param team the team
+     * @param quota the team's quota, which must have a limit
+     * @return the usage and the limit
+     */
+    public QuotaStatus pacedQuotaStatus(long nowMs, TeamId team, Quota quota) {
+        double available = bursts.available(team, quota, RECENT_MS);
+        return status(nowMs, team, quota, available * coveredFraction(nowMs));
+    }
+
+    private QuotaStatus status(long nowMs, TeamId team, Quota quota, double available) {
         return new QuotaStatus(
-                usedUnits(nowMs, team, quota), limit(nowMs, quota), reportingNodes(nowMs), recentDemand(nowMs, team));
+                usedUnits(nowMs, team, quota),
+                limit(nowMs, quota),
+                reportingNodes(nowMs),
+                recentDemand(nowMs, team),
+                available);
+    }
+
+    /** Updates what the teams may spend beyond their rates by what all nodes have spent recently. */
+    ShareState withBursts(long nowMs, Collection<Team> teams) {
+        BurstAllowances next = bursts.after(nowMs, teams, t -> recentlySpent(nowMs, t) / RECENT_MS);
+        return new ShareState(rules, own, hearing, nodes, offsetMs, past, serversSentMs, next);
+    }
+
+    private double recentlySpent(long nowMs, TeamId team) {
+        return own.spent(team, nowMs - RECENT_MS).total()
+                + hearing.maxSum(r ->
+                        r.isFresh(nowMs, maxReportAgeMs()) ? r.report().lately().getOrDefault(team, 0L) : 0);
     }
 
     private double recentDemand(long nowMs, TeamId team) {
@@ -399,30 +455,30 @@
     }
 
     ShareState with(ShareRules next) {
-        return new ShareState(next, own, hearing, nodes, offsetMs, past, serversSentMs);
+        return new ShareState(next, own, hearing, nodes, offsetMs, past, serversSentMs, bursts);
     }
 
     ShareState with(LocalUsage next) {
-        return new ShareState(rules, next, hearing, nodes, offsetMs, past, serversSentMs);
+        return new ShareState(rules, next, hearing, nodes, offsetMs, past, serversSentMs, bursts);
     }
 
     ShareState with(PeerUsage next) {
-        return new ShareState(rules, own, next, nodes, offsetMs, past, serversSentMs);
+        return new ShareState(rules, own, next, nodes, offsetMs, past, serversSentMs, bursts);
     }
 
     ShareState withNodes(int next) {
-        return new ShareState(rules, own, hearing, next, offsetMs, past, serversSentMs);
+        return new ShareState(rules, own, hearing, next, offsetMs, past, serversSentMs, bursts);
     }
 
     ShareState withOffset(long next) {
-        return new ShareState(rules, own, hearing, nodes, next, past, serversSentMs);
+        return new ShareState(rules, own, hearing, nodes, next, past, serversSentMs, bursts);
     }
 
     ShareState with(PriorUsage next) {
-        return new ShareState(rules, own, hearing, nodes, offsetMs, next, serversSentMs);
+        return new ShareState(rules, own, hearing, nodes, offsetMs, next, serversSentMs, bursts);
     }
 
     ShareState withServersSent(long nowMs) {
-        return new ShareState(rules, own, hearing, nodes, offsetMs, past, nowMs);
+        return new ShareState(rules, own, hearing, nodes, offsetMs, past, nowMs, bursts);
     }
 }
