Decide by the zones' waits how many requests leave a zone

Cause: another zone cost 2 ms at any load, a tenth of it while the first token is in time, so that nearly three quarters of the requests of a zone of four left it at rest, and traffic between zones is priced by the byte.

Change: with shared scheduling, ZoneSpill computes from own attempts and the sums of all nodes the fraction that equalizes the predicted waits of the zones, with a start threshold above the end threshold. Each request draws its zone, and AffinityRouter compares the servers of that zone, which has its own owner of each prefix. A node without recent reports stays in its zone. Events 2112 and 2113, gauges zones.spill_fraction.ZONE. Without shared scheduling the estimates are the standard ones.

--- a/core/src/main/java/org/fuchsiadeck/core/EventCode.java
+++ b/core/src/main/java/org/fuchsiadeck/core/EventCode.java
@@ -41,6 +41,9 @@
     BACKEND_LIMITED(
             2110, Level.INFO, "A backend server accepts only so many requests per second from all nodes together."),
     BACKEND_LIMIT_ENDED(2111, Level.INFO, "A backend server no longer limits the rate of its requests."),
+    ZONE_SPILL_STARTED(
+            2112, Level.INFO, "Part of a zone's requests is sent to other zones, whose servers have shorter waits."),
+    ZONE_SPILL_ENDED(2113, Level.INFO, "A zone's requests stay in the zone again."),
     PROMPT_PART_QUARANTINED(
             2201, Level.WARN, "Requests with prompt parts under which backend servers crash are rejected for a while."),
     PROMPT_PART_TRIED(2202, Level.INFO, "A request with quarantined prompt parts is sent to a server as a trial."),
--- a/core/src/main/java/org/fuchsiadeck/core/request/Dispatcher.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Dispatcher.java
@@ -44,12 +44,20 @@
                 b -> reduction.view().usage().inFlightElsewhere(reduction.nowMs(), b.id()),
                 b -> reduction.view().usage().unreadElsewhere(reduction.nowMs(), b.id()),
                 reduction.view().peers().alive().size() + 1,
-                ServerEstimates.standard(reduction.view().self().zone()));
+                estimates(reduction, request, seed));
         ToIntFunction<Backend> max = b -> Policies.of(reduction, b).backendConcurrency();
         return new PlacementFinder(reduction.state().fleet(), reduction.view().shares(), reduction.router(), max)
                 .find(request.wanted(), query);
     }
 
+    private static ServerEstimates estimates(RequestReduction reduction, ActiveRequest request, long seed) {
+        ServerEstimates standard =
+                ServerEstimates.standard(reduction.view().self().zone());
+        return SharedScheduling.isOn(reduction, request.route())
+                ? ZoneSpills.estimates(reduction, request, seed, standard)
+                : standard;
+    }
+
     /** Returns the refusal of a new request if no server may take it, now or later in the queue. */
     static Optional<Refusal> refusalFor(RequestReduction reduction, ActiveRequest request, Availability availability) {
         Optional<Refusal> quarantined = PromptChecks.refusal(reduction, request);
--- a/core/src/main/java/org/fuchsiadeck/core/request/RequestState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/RequestState.java
@@ -5,6 +5,7 @@
 import io.vavr.collection.HashMap;
 import io.vavr.collection.Map;
 import io.vavr.collection.Queue;
+import io.vavr.collection.Set;
 import io.vavr.control.Option;
 import org.fuchsiadeck.core.config.PolicyCache;
 import org.fuchsiadeck.core.limit.FairQueue;
@@ -13,8 +14,11 @@
 import org.fuchsiadeck.core.model.Backend;
 import org.fuchsiadeck.core.model.BackendId;
 import org.fuchsiadeck.core.model.RequestId;
+import org.fuchsiadeck.core.model.Zone;
 import org.fuchsiadeck.core.routing.BackendStatus;
 import org.fuchsiadeck.core.routing.Fleet;
+import org.fuchsiadeck.core.routing.Need;
+import org.fuchsiadeck.core.routing.ZoneSpill;
 
 import static java.util.Objects.requireNonNull;
 
@@ -31,6 +35,7 @@
  * @param decisions the latest decisions, oldest first
  * @param counters the counters since the node started
  * @param policies the cached policies
+ * @param spills the spillover to other availability zones, by need
  */
 public record RequestState(
         Fleet fleet,
@@ -42,13 +47,15 @@
         Option<DrainState> drain,
         Queue<Decision> decisions,
         RequestCounters counters,
-        PolicyCache policies) {
+        PolicyCache policies,
+        Map<Need, ZoneSpill> spills) {
     public RequestState {
         requireNonNull(fleet, "fleet");
         requireNonNull(budget, "budget");
         requireNonNull(drain, "drain");
         requireNonNull(counters, "counters");
         requireNonNull(policies, "policies");
+        requireNonNull(spills, "spills");
     }
 
     /**
@@ -67,7 +74,8 @@
                 Option.none(),
                 Queue.empty(),
                 RequestCounters.ZERO,
-                PolicyCache.EMPTY);
+                PolicyCache.EMPTY,
+                HashMap.empty());
     }
 
     /**
@@ -98,6 +106,29 @@
         return positiveValues(BackendStatus::unread);
     }
 
+    /**
+     * Returns the availability zones with servers, as far as spillover is computed for any.
+     *
+     * @return the zones
+     */
+    public Set<Zone> spillZones() {
+        return spills.values().flatMap(s -> s.loads().keySet()).toSet();
+    }
+
+    /**
+     * Returns the fraction of this node's requests that is sent to another availability zone because this node's zone is
+     * short of servers.
+     *
+     * @param zone the other zone
+     * @return the greatest fraction of any need, from 0 to 1
+     */
+    public double spillFraction(Zone zone) {
+        return spills.values()
+                .map(s -> s.fractions().getOrElse(zone, 0.0))
+                .max()
+                .getOrElse(0.0);
+    }
+
     private java.util.Map<BackendId, Integer> positiveValues(ToIntFunction<BackendStatus> property) {
         java.util.Map<BackendId, Integer> values = new java.util.HashMap<>();
         for (BackendStatus server : fleet.servers().values()) {
@@ -110,45 +141,61 @@
     }
 
     RequestState with(Fleet next) {
-        return new RequestState(next, open, queues, loads, budget, draws, drain, decisions, counters, policies);
+        return new RequestState(next, open, queues, loads, budget, draws, drain, decisions, counters, policies, spills);
     }
 
     RequestState withOpen(Map<RequestId, ActiveRequest> next) {
-        return new RequestState(fleet, next, queues, loads, budget, draws, drain, decisions, counters, policies);
+        return new RequestState(
+                fleet, next, queues, loads, budget, draws, drain, decisions, counters, policies, spills);
     }
 
     RequestState withQueue(String service, FairQueue next) {
         Map<String, FairQueue> all = next.size() == 0 ? queues.remove(service) : queues.put(service, next);
-        return new RequestState(fleet, open, all, loads, budget, draws, drain, decisions, counters, policies);
+        return new RequestState(fleet, open, all, loads, budget, draws, drain, decisions, counters, policies, spills);
     }
 
     RequestState withLoad(String service, ServiceLoad next) {
         return new RequestState(
-                fleet, open, queues, loads.put(service, next), budget, draws, drain, decisions, counters, policies);
+                fleet,
+                open,
+                queues,
+                loads.put(service, next),
+                budget,
+                draws,
+                drain,
+                decisions,
+                counters,
+                policies,
+                spills);
     }
 
     RequestState with(RetryBudget next) {
-        return new RequestState(fleet, open, queues, loads, next, draws, drain, decisions, counters, policies);
+        return new RequestState(fleet, open, queues, loads, next, draws, drain, decisions, counters, policies, spills);
     }
 
     RequestState withNextDraw() {
-        return new RequestState(fleet, open, queues, loads, budget, draws + 1, drain, decisions, counters, policies);
+        return new RequestState(
+                fleet, open, queues, loads, budget, draws + 1, drain, decisions, counters, policies, spills);
     }
 
     RequestState with(DrainState next) {
         return new RequestState(
-                fleet, open, queues, loads, budget, draws, Option.some(next), decisions, counters, policies);
+                fleet, open, queues, loads, budget, draws, Option.some(next), decisions, counters, policies, spills);
     }
 
     RequestState withDecisions(Queue<Decision> next) {
-        return new RequestState(fleet, open, queues, loads, budget, draws, drain, next, counters, policies);
+        return new RequestState(fleet, open, queues, loads, budget, draws, drain, next, counters, policies, spills);
     }
 
     RequestState with(RequestCounters next) {
-        return new RequestState(fleet, open, queues, loads, budget, draws, drain, decisions, next, policies);
+        return new RequestState(fleet, open, queues, loads, budget, draws, drain, decisions, next, policies, spills);
     }
 
     RequestState with(PolicyCache next) {
-        return new RequestState(fleet, open, queues, loads, budget, draws, drain, decisions, counters, next);
+        return new RequestState(fleet, open, queues, loads, budget, draws, drain, decisions, counters, next, spills);
+    }
+
+    RequestState withSpills(Map<Need, ZoneSpill> next) {
+        return new RequestState(fleet, open, queues, loads, budget, draws, drain, decisions, counters, policies, next);
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/routing/AffinityRouter.java
+++ b/core/src/main/java/org/fuchsiadeck/core/routing/AffinityRouter.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import io.vavr.collection.Set;
 import io.vavr.control.Option;
 import org.fuchsiadeck.core.model.BackendId;
 import org.fuchsiadeck.core.model.Rendezvous;
@@ -20,7 +21,8 @@
  * on all nodes. A request goes to another server if the owner has so many unread tokens that the first token would be
  * late; the unread tokens of other nodes' requests count like this node's own. In a large deployment each node compares
  * only a few random servers with the owners. Long prompts delay all requests on the same server, so processing a shared
- * prefix once instead of on each server shortens load peaks.
+ * prefix once instead of on each server shortens load peaks. If an availability zone was picked for the request, only
+ * the servers of that zone are compared, and each zone has an owner of each prefix.
  */
 final class AffinityRouter implements Router {
     /** Delay of the first token per attempt in progress on the same server, in milliseconds; an order of magnitude. */
@@ -52,6 +54,49 @@
 
     @Override
     public Option<Choice> choose(Candidates candidates, RoutingContext context) {
+        Option<Choice> local =
+                context.estimates().zoneServers().isPresent() ? chooseInZone(candidates, context) : Option.none();
+        return local.orElse(() -> chooseAmong(candidates, context));
+    }
+
+    /**
+     * Chooses among the servers of the picked zone, which has its own owner of each prefix. The owner over all zones
+     * takes the request only if it would have to process fewer tokens, and that saves more than the transfer costs: it
+     * does not take it for a shorter wait, as all nodes would then send there until the next report.
+     */
+    private static Option<Choice> chooseInZone(Candidates candidates, RoutingContext context) {
+        Set<BackendId> members = context.estimates().zoneServers().orElseThrow();
+        Candidates inZone = new Candidates(candidates.ids().filter(members::contains), candidates.usable());
+        Option<Choice> local = chooseAmong(inZone, context);
+        List<BackendId> owners = owners(candidates, context);
+        if (local.isEmpty() || owners.isEmpty()) {
+            return local;
+        }
+        BackendId owner = owners.get(owners.size() - 1);
+        Option<Choice> remote = candidates
+                .usable()
+                .apply(owner)
+                .filter(s -> !members.contains(owner) && !s.health().isTrialDue(context.nowMs()))
+                .map(s -> Choice.withoutRunnerUp(s, costMs(s, context, owners)).withUnread(unread(s, context, owners)));
+        return remote.filter(r -> readsLess(r, local.get(), context)
+                        && r.score() < local.get().score())
+                .map(r -> new Choice(
+                        r.server(),
+                        r.score(),
+                        Optional.of(local.get().server().backend().id()),
+                        local.get().score(),
+                        r.unread()))
+                .orElse(local);
+    }
+
+    private static boolean readsLess(Choice remote, Choice local, RoutingContext context) {
+        double savedMs =
+                (local.unread() - remote.unread()) / context.estimates().prefillTokensPerMs();
+        return savedMs
+                > context.estimates().zoneCostMs().applyAsDouble(remote.server().backend());
+    }
+
+    private static Option<Choice> chooseAmong(Candidates candidates, RoutingContext context) {
         List<BackendId> owners = owners(candidates, context);
         Choice best = null;
         for (BackendStatus server : compared(candidates, context, owners)) {
@@ -103,11 +148,13 @@
         double zone = estimates.zoneCostMs().applyAsDouble(server.backend());
         double aboveSlots = Math.max(0, inFlight - server.backend().slots());
         double unreadAhead = server.unread() + context.unreadElsewhere().applyAsInt(server.backend());
-        double waitMs =
-                ((inFlight + aboveSlots) * BUSY_MS + unreadAhead / estimates.prefillTokensPerMs()) / weight + zone;
+        boolean priced = estimates.zoneServers().isPresent();
+        double waitMs = ((inFlight + aboveSlots) * BUSY_MS + unreadAhead / estimates.prefillTokensPerMs()) / weight
+                + (priced ? 0 : zone);
         double readMs = unread(server, context, owners) / estimates.prefillTokensPerMs() / weight;
         double slackMs = SLACK * context.targetMs();
-        return readMs + Math.max(0, waitMs - slackMs) + WITHIN_SLACK_WEIGHT * Math.min(waitMs, slackMs);
+        double costMs = readMs + Math.max(0, waitMs - slackMs) + WITHIN_SLACK_WEIGHT * Math.min(waitMs, slackMs);
+        return priced ? costMs + zone : costMs;
     }
 
     private static int unread(BackendStatus server, RoutingContext context, List<BackendId> owners) {
--- a/core/src/main/java/org/fuchsiadeck/core/routing/Fleet.java
+++ b/core/src/main/java/org/fuchsiadeck/core/routing/Fleet.java
@@ -206,6 +206,32 @@
         return departures.get(id).toJavaOptional();
     }
 
+    /**
+     * Returns the servers of a need that this node may use.
+     *
+     * @param need the need
+     * @return the status of each; empty if there is no pool of the need
+     */
+    public Array<BackendStatus> servers(Need need) {
+        return pools.get(need).map(Pool::all).getOrElse(Array.empty()).flatMap(servers::get);
+    }
+
+    /**
+     * Returns whether a server may be sent requests irrespective of its load: it is listed and does not leave, it is not
+     * suspected, and it did not ask for a pause. A server whose trial is due is included, as only requests show that it
+     * has recovered.
+     *
+     * @param server the server
+     * @param nowMs the time, in milliseconds
+     * @return whether it may be sent requests
+     */
+    public boolean mayBeSent(BackendStatus server, long nowMs) {
+        return server.listed()
+                && !departures.containsKey(server.backend().id())
+                && !server.health().isSuspected(nowMs)
+                && nowMs >= server.pausedUntilMs();
+    }
+
     private boolean isEntirelyLeaving(Pool pool) {
         return !pool.all().isEmpty() && pool.all().forAll(departures::containsKey);
     }
--- a/core/src/main/java/org/fuchsiadeck/core/routing/ServerEstimates.java
+++ b/core/src/main/java/org/fuchsiadeck/core/routing/ServerEstimates.java
@@ -1,8 +1,11 @@
 package org.fuchsiadeck.core.routing;
 
+import java.util.Optional;
 import java.util.function.ToDoubleFunction;
 
+import io.vavr.collection.Set;
 import org.fuchsiadeck.core.model.Backend;
+import org.fuchsiadeck.core.model.BackendId;
 import org.fuchsiadeck.core.model.EngineTime;
 import org.fuchsiadeck.core.model.Zone;
 
@@ -14,15 +17,33 @@
  * @param prefillTokensPerMs prompt tokens that a server of usual speed processes per millisecond
  * @param speed returns a server's speed relative to the usual one of its service; greater than 0
  * @param zoneCostMs returns the cost of using a server because of its availability zone, in milliseconds
+ * @param zoneServers the servers of the availability zone that was picked for the request; empty if none was picked, so
+ *     that all zones are compared
  */
 public record ServerEstimates(
-        double prefillTokensPerMs, ToDoubleFunction<Backend> speed, ToDoubleFunction<Backend> zoneCostMs) {
+        double prefillTokensPerMs,
+        ToDoubleFunction<Backend> speed,
+        ToDoubleFunction<Backend> zoneCostMs,
+        Optional<Set<BackendId>> zoneServers) {
     /** Cost of using another availability zone, in milliseconds: the network round trip and the price of the bytes. */
     private static final double OTHER_ZONE_MS = 2;
 
     public ServerEstimates {
         requireNonNull(speed, "speed");
         requireNonNull(zoneCostMs, "zoneCostMs");
+        requireNonNull(zoneServers, "zoneServers");
+    }
+
+    /**
+     * Creates estimates for a request for which no availability zone was picked.
+     *
+     * @param prefillTokensPerMs prompt tokens that a server of usual speed processes per millisecond
+     * @param speed returns a server's speed relative to the usual one of its service; greater than 0
+     * @param zoneCostMs returns the cost of using a server because of its availability zone, in milliseconds
+     */
+    public ServerEstimates(
+            double prefillTokensPerMs, ToDoubleFunction<Backend> speed, ToDoubleFunction<Backend> zoneCostMs) {
+        this(prefillTokensPerMs, speed, zoneCostMs, Optional.empty());
     }
 
     /**
--- a/core/src/main/java/org/fuchsiadeck/core/share/ShareState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/share/ShareState.java
@@ -183,6 +183,16 @@
                 r.hasFreshServers(nowMs, maxReportAgeMs()) ? r.report().unread().getOrDefault(server, 0) : 0);
     }
 
+    /**
+     * Returns the number of nodes whose attempts at backend servers are known from recent reports.
+     *
+     * @param nowMs the time, in milliseconds
+     * @return the number of nodes, including this one
+     */
+    public int nodesWithServerReports(long nowMs) {
+        return 1 + (int) hearing.maxSum(r -> r.hasFreshServers(nowMs, maxReportAgeMs()) ? r.nodes() : 0);
+    }
+
     /**
      * Returns the time of day by the median of the nodes' clocks, so that a step of this node's own clock has no
      * effect.
--- a/core/src/test/java/org/fuchsiadeck/core/routing/AffinityRouterTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/routing/AffinityRouterTest.java
@@ -3,10 +3,13 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.ToIntFunction;
+import java.util.stream.Collectors;
 
 import io.vavr.collection.Array;
+import io.vavr.collection.HashSet;
 import io.vavr.control.Option;
 import org.fuchsiadeck.core.model.Address;
 import org.fuchsiadeck.core.model.Backend;
@@ -128,4 +131,49 @@
         }
         return placements;
     }
+
+    private BackendId placeFromZone(Set<BackendId> members, double transferMs) {
+        Candidates candidates =
+                new Candidates(Array.ofAll(servers.keySet()).sorted(), id -> Option.of(servers.get(id)));
+        ServerEstimates estimates = new ServerEstimates(
+                80, b -> 1, b -> members.contains(b.id()) ? 0 : transferMs, Optional.of(HashSet.ofAll(members)));
+        RoutingContext context = new RoutingContext(
+                0,
+                ZONE,
+                List.of(7L, 8L),
+                SentPrefixes.EMPTY,
+                3,
+                0,
+                b -> 1,
+                0,
+                new RoutingContext.PromptLengths(14_000, List.of(13_000, 14_000)),
+                b -> 0,
+                b -> 0,
+                95,
+                estimates);
+        return Router.affinity()
+                .choose(candidates, context)
+                .get()
+                .server()
+                .backend()
+                .id();
+    }
+
+    /** Every zone has its own owner of a prefix; otherwise three quarters of the requests would leave a zone of four. */
+    @Test
+    void leavesThePickedZoneOnlyForAPrefixThatSavesMoreThanTheTransfer() {
+        addEngines(30);
+        BackendId owner = placeFromZone(Set.copyOf(servers.keySet()), 20);
+        Set<BackendId> zone = servers.keySet().stream()
+                .filter(id -> !id.equals(owner))
+                .limit(8)
+                .collect(Collectors.toSet());
+        BackendId local = placeFromZone(zone, 20);
+        assertThat(zone).contains(local);
+        servers.computeIfPresent(local, (id, s) -> s.plusAttempts(4).plusUnread(80_000));
+        assertThat(placeFromZone(zone, 20)).isEqualTo(owner);
+        assertThat(placeFromZone(zone, 200)).isIn(zone).isNotEqualTo(local);
+        servers.computeIfPresent(owner, (id, s) -> s.plusAttempts(4).plusUnread(80_000));
+        assertThat(placeFromZone(zone, 20)).isIn(zone);
+    }
 }
--- a/node/src/main/java/org/fuchsiadeck/node/Node.java
+++ b/node/src/main/java/org/fuchsiadeck/node/Node.java
@@ -25,6 +25,7 @@
 import org.fuchsiadeck.core.membership.MembershipEffect;
 import org.fuchsiadeck.core.membership.MembershipEvent;
 import org.fuchsiadeck.core.model.BackendId;
+import org.fuchsiadeck.core.model.Zone;
 import org.fuchsiadeck.core.platform.PlatformEffect;
 import org.fuchsiadeck.core.platform.PlatformEvent;
 import org.fuchsiadeck.core.platform.Position;
@@ -320,6 +321,15 @@
         callers.sweep();
         backends.closeExpiredConnections();
         exchanges.reportWaiting();
+        loop.state().requests().spillZones().forEach(this::registerSpillGauge);
+    }
+
+    /** Zones become known with the first servers, after which each has a gauge. */
+    private void registerSpillGauge(Zone zone) {
+        String name = "zones.spill_fraction." + zone;
+        if (!metrics.getGauges().containsKey(name)) {
+            metrics.registerGauge(name, () -> loop.state().requests().spillFraction(zone));
+        }
     }
 
     private void logged(Effect.Log event) {
