Test which nodes' attempts at servers a node knows

Cause: spillover must stop when the reports of a zone's nodes are missing, as the zone's servers then look idle.

Change: a test of ShareState.nodesWithServerReports in fleets of 8 and 60 nodes, of which a quarter is cut off.

--- a/core/src/test/java/org/fuchsiadeck/core/share/ShareStateTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/share/ShareStateTest.java
@@ -24,6 +24,8 @@
 import org.fuchsiadeck.core.platform.PlatformEffect;
 import org.fuchsiadeck.core.platform.PlatformEvent;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -131,6 +133,27 @@
         }
     }
 
+    /** The servers of a zone whose nodes are cut off would look idle to the others. */
+    @ParameterizedTest
+    @ValueSource(ints = {8, 60})
+    void countsOnlyNodesWhoseAttemptsAreKnown(int nodes) {
+        Cluster cluster = new Cluster(nodes);
+        assertThat(cluster.state(0).nodesWithServerReports(cluster.nowMs)).isEqualTo(1);
+        for (int i = 0; i < 12; i++) {
+            cluster.tick();
+        }
+        assertThat(cluster.state(0).nodesWithServerReports(cluster.nowMs)).isEqualTo(nodes);
+        NodeId[] cut = cluster.states.keySet().stream()
+                .filter(n -> !n.equals(new NodeId("n0")))
+                .limit(nodes / 4)
+                .toArray(NodeId[]::new);
+        for (int i = 0; i < 24; i++) {
+            cluster.tick(cut);
+        }
+        assertThat(cluster.state(0).nodes()).isEqualTo(nodes);
+        assertThat(cluster.state(0).nodesWithServerReports(cluster.nowMs)).isBetween(1, nodes - nodes / 4);
+    }
+
     @Test
     void limitsATeamToItsQuotaAcrossAllNodesInEachWindow() {
         Cluster cluster = new Cluster(3);
