Replay moving demand on both target deployments

Cause: the replay showed three sizes with the engines of one workload only.

Change: ZoneReplay takes the engines of a deployment; 80 nodes with 98 engines and 59 nodes with 63 slower ones are replayed too.

--- a/core/src/test/java/org/fuchsiadeck/core/routing/ZoneReplay.java
+++ b/core/src/test/java/org/fuchsiadeck/core/routing/ZoneReplay.java
@@ -26,9 +26,6 @@
  */
 final class ZoneReplay {
     static final int ZONES = 4;
-    static final double TOKENS_PER_MS = 112;
-    private static final double ROUND_TRIP_MS = 2.8;
-    private static final int SLOTS = 16;
     private static final int QUEUE_LIMIT = 33;
     private static final int SHARED_TOKENS = 8_000;
     private static final int PREFIXES = 48;
@@ -36,7 +33,6 @@
     private static final int OWN_TOKENS_RANGE = 7_000;
     private static final double GENERATE_MS = 400;
     private static final int MAX_TOKENS = 120;
-    private static final long TARGET_MS = 500;
     private static final long SUM_EVERY_MS = 500;
     private static final long SEED = 29;
 
@@ -44,6 +40,7 @@
     /** The fraction that leaves the zone of each node, every 100 ms. */
     final List<double[]> fractions = new ArrayList<>();
 
+    private final Engines engines;
     private final int nodes;
     private final boolean spilling;
     private final List<Server> servers = new ArrayList<>();
@@ -60,6 +57,27 @@
     /** Whether a zone's servers are up, by zone and time. */
     BiPredicate<Integer, Long> up = (z, t) -> true;
 
+    /**
+     * The engines of a deployment.
+     *
+     * @param slots the requests that each processes at a time
+     * @param tokensPerMs the prompt tokens that each processes per millisecond
+     * @param targetMs the time to first token that callers expect, in milliseconds
+     * @param roundTripMs the network round trip between zones, in milliseconds
+     */
+    record Engines(int slots, double tokensPerMs, long targetMs, double roundTripMs) {
+        /** Scarce capacity: prompts of priority 1. */
+        static final Engines SCARCE = new Engines(16, 112, 500, 2.8);
+
+        /** Heterogeneous servers and uneven demand. */
+        static final Engines UNEVEN = new Engines(48, 50.7, 1_000, 1);
+
+        /** Returns a mean request's time at one server and its transfer, in ms: zones may differ by this unlevelled. */
+        double requestMs() {
+            return (SHARED_TOKENS + MIN_OWN_TOKENS + OWN_TOKENS_RANGE / 2.0) / tokensPerMs + 20;
+        }
+    }
+
     /**
      * One answered or rejected request.
      *
@@ -75,7 +93,7 @@
 
     private record Change(double atMs, int node, int server, int attempts, int unread) {}
 
-    private static final class Server {
+    private final class Server {
         final Backend backend;
         final int zone;
         final Set<Integer> cached = new HashSet<>();
@@ -96,7 +114,7 @@
                     Set.of(),
                     Set.of(),
                     Set.of(),
-                    SLOTS,
+                    engines.slots(),
                     1,
                     true,
                     false);
@@ -104,17 +122,18 @@
 
         /** Returns when the request's prompt is processed; the server admits requests in the order of arrival. */
         double readEndMs(double nowMs, int tokens) {
-            while (ends.size() >= SLOTS) {
+            while (ends.size() >= engines.slots()) {
                 double freeMs = ends.poll();
                 readerFreeMs = Math.max(readerFreeMs, freeMs);
             }
-            readerFreeMs = Math.max(readerFreeMs, nowMs) + tokens / TOKENS_PER_MS;
+            readerFreeMs = Math.max(readerFreeMs, nowMs) + tokens / engines.tokensPerMs();
             ends.add(readerFreeMs + GENERATE_MS);
             return readerFreeMs;
         }
     }
 
-    ZoneReplay(int nodes, int serverCount, boolean spilling) {
+    ZoneReplay(Engines engines, int nodes, int serverCount, boolean spilling) {
+        this.engines = engines;
         this.nodes = nodes;
         this.spilling = spilling;
         for (int i = 0; i < serverCount; i++) {
@@ -147,7 +166,7 @@
     /** Requests of a zone per millisecond that its servers can read if every second shared prefix is cached. */
     double capacity() {
         double meanTokens = MIN_OWN_TOKENS + OWN_TOKENS_RANGE / 2.0 + SHARED_TOKENS / 2.0;
-        return servers.size() / (double) ZONES * TOKENS_PER_MS / meanTokens;
+        return servers.size() / (double) ZONES * engines.tokensPerMs() / meanTokens;
     }
 
     private double draw() {
@@ -219,7 +238,9 @@
         long seed = SplitMix.draw(SEED + 1, draws++);
         Option<Sums> seen = sumsAt(node, now);
         ServerEstimates base = new ServerEstimates(
-                TOKENS_PER_MS, b -> 1, ServerEstimates.standard(zone(zone)).zoneCostMs());
+                engines.tokensPerMs(),
+                b -> 1,
+                ServerEstimates.standard(zone(zone)).zoneCostMs());
         ServerEstimates estimates = base;
         if (spilling) {
             ZoneSpill.Traits traits = ZoneSpill.Traits.of(tokens, tokens, MAX_TOKENS);
@@ -237,7 +258,7 @@
                 seed,
                 draws,
                 b -> 1,
-                TARGET_MS,
+                engines.targetMs(),
                 new RoutingContext.PromptLengths(tokens, List.of(SHARED_TOKENS, tokens)),
                 b -> elsewhere(seen, node, index(b), false),
                 b -> elsewhere(seen, node, index(b), true),
@@ -252,7 +273,7 @@
         int index = index(choice.server().backend());
         Server server = servers.get(index);
         int from = node % ZONES;
-        if (server.attempts >= SLOTS + QUEUE_LIMIT) {
+        if (server.attempts >= engines.slots() + QUEUE_LIMIT) {
             answers.add(new Answer(now, from, server.zone, Double.POSITIVE_INFINITY, 0));
             return;
         }
@@ -262,7 +283,7 @@
         apply(new Change(now, node, index, 1, choice.unread()));
         changes.add(new Change(readEnd, node, index, 0, -choice.unread()));
         changes.add(new Change(readEnd + GENERATE_MS, node, index, -1, 0));
-        double wayMs = server.zone == from ? 0 : ROUND_TRIP_MS;
+        double wayMs = server.zone == from ? 0 : engines.roundTripMs();
         answers.add(new Answer(now, from, server.zone, readEnd - now + wayMs, recomputed));
     }
 
@@ -283,7 +304,7 @@
 
     private BackendStatus status(int node, BackendId id) {
         int index = Integer.parseInt(id.value().substring(1));
-        return BackendStatus.initial(servers.get(index).backend, SLOTS)
+        return BackendStatus.initial(servers.get(index).backend, engines.slots())
                 .plusAttempts(ownAttempts[node][index])
                 .plusUnread(ownUnread[node][index]);
     }
@@ -300,7 +321,7 @@
                                         status(node, ids.get(i)),
                                         elsewhere(seen, node, i, false),
                                         elsewhere(seen, node, i, true),
-                                        TOKENS_PER_MS,
+                                        engines.tokensPerMs(),
                                         GENERATE_MS));
             }
         }
--- a/core/src/test/java/org/fuchsiadeck/core/routing/ZoneReplayTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/routing/ZoneReplayTest.java
@@ -3,6 +3,7 @@
 import java.util.Arrays;
 import java.util.stream.IntStream;
 
+import org.fuchsiadeck.core.routing.ZoneReplay.Engines;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -23,11 +24,13 @@
     private static final double BURST = 2;
     /** What an even distribution over four zones sends elsewhere. */
     private static final double EVEN = 0.75;
-    /** A mean request's time at one server and its transfer, in ms: what the zones' waits may differ by unlevelled. */
-    private static final double REQUEST_MS = 13_500 / ZoneReplay.TOKENS_PER_MS + 20;
 
     private static ZoneReplay atRest(int nodes, int servers, boolean spilling) {
-        ZoneReplay replay = new ZoneReplay(nodes, servers, spilling);
+        return atRest(Engines.SCARCE, nodes, servers, spilling);
+    }
+
+    private static ZoneReplay atRest(Engines engines, int nodes, int servers, boolean spilling) {
+        ZoneReplay replay = new ZoneReplay(engines, nodes, servers, spilling);
         replay.run(0, BURST_MS, REST, REST, REST, REST);
         return replay;
     }
@@ -36,8 +39,8 @@
         replay.run(fromMs, toMs, BURST, REST, REST, REST);
     }
 
-    private static ZoneReplay movingDemand(int nodes, int servers, boolean spilling) {
-        ZoneReplay replay = atRest(nodes, servers, spilling);
+    private static ZoneReplay movingDemand(Engines engines, int nodes, int servers, boolean spilling) {
+        ZoneReplay replay = atRest(engines, nodes, servers, spilling);
         burst(replay, BURST_MS, END_MS);
         replay.run(END_MS, STOP_MS, REST, REST, REST, REST);
         return replay;
@@ -46,8 +49,19 @@
     @ParameterizedTest
     @CsvSource({"8, 16", "60, 64", "370, 96"})
     void followsDemandThatMovesBetweenZones(int nodes, int servers) {
-        ZoneReplay constant = movingDemand(nodes, servers, false);
-        ZoneReplay spilling = movingDemand(nodes, servers, true);
+        check(Engines.SCARCE, nodes, servers);
+    }
+
+    /** The number of nodes and engines of both target workloads, with the engines of each. */
+    @ParameterizedTest
+    @CsvSource({"true, 80, 98", "false, 59, 63"})
+    void followsDemandOnTheTargetDeployments(boolean scarce, int nodes, int servers) {
+        check(scarce ? Engines.SCARCE : Engines.UNEVEN, nodes, servers);
+    }
+
+    private static void check(Engines engines, int nodes, int servers) {
+        ZoneReplay constant = movingDemand(engines, nodes, servers, false);
+        ZoneReplay spilling = movingDemand(engines, nodes, servers, true);
         report(nodes, constant, spilling);
         for (long[] rest : new long[][] {{REACTION_MS, BURST_MS}, {END_MS + 2 * REACTION_MS, STOP_MS}}) {
             assertThat(spilling.left(rest[0], rest[1], -1))
@@ -55,7 +69,7 @@
                     .isLessThan(constant.left(rest[0], rest[1], -1) / 5);
             assertThat(spilling.firstMs(rest[0], rest[1], -1, 0.95))
                     .as("time to first token at rest")
-                    .isLessThan(constant.firstMs(rest[0], rest[1], -1, 0.95) + REQUEST_MS);
+                    .isLessThan(constant.firstMs(rest[0], rest[1], -1, 0.95) + engines.requestMs());
         }
         long from = BURST_MS + REACTION_MS;
         assertThat(spilling.left(from, END_MS, 0))
@@ -63,10 +77,10 @@
                 .isLessThan(EVEN);
         assertThat(spilling.firstMs(from, END_MS, 0, 0.5))
                 .as("time to first token in the short zone against the others")
-                .isLessThan(spilling.firstMs(from, END_MS, 1, 0.5) + REQUEST_MS);
+                .isLessThan(spilling.firstMs(from, END_MS, 1, 0.5) + engines.requestMs());
         assertThat(spilling.firstMs(from, END_MS, 0, 0.5))
                 .as("time to first token in the short zone against the constant cost")
-                .isLessThan(constant.firstMs(from, END_MS, 0, 0.5) + REQUEST_MS);
+                .isLessThan(constant.firstMs(from, END_MS, 0, 0.5) + engines.requestMs());
         assertThat(swing(spilling, from, END_MS))
                 .as("oscillation of the fraction")
                 .isLessThan(EVEN / 2);
@@ -187,6 +201,6 @@
         long from = restartMs + REACTION_MS;
         assertThat(swing(replay, from, from + REACTION_MS)).isLessThan(EVEN / 2);
         assertThat(replay.firstMs(from, from + REACTION_MS, 0, 0.5))
-                .isLessThan(replay.firstMs(from, from + REACTION_MS, 1, 0.5) + REQUEST_MS);
+                .isLessThan(replay.firstMs(from, from + REACTION_MS, 1, 0.5) + Engines.SCARCE.requestMs());
     }
 }
