--- a/core/src/main/java/org/fuchsiadeck/core/EventCode.java
+++ b/core/src/main/java/org/fuchsiadeck/core/EventCode.java
@@ -41,6 +41,7 @@
     BACKEND_LIMITED(
             2110, Level.INFO, "A backend server accepts only so many requests per second from all nodes together."),
     BACKEND_LIMIT_ENDED(2111, Level.INFO, "A backend server no longer limits the rate of its requests."),
+    BACKEND_BAD_LOAD(2112, Level.WARN, "A backend server sent a load header of which a part is invalid and not used."),
     PROMPT_PART_QUARANTINED(
             2201, Level.WARN, "Requests with prompt parts under which backend servers crash are rejected for a while."),
     PROMPT_PART_TRIED(2202, Level.INFO, "A request with quarantined prompt parts is sent to a server as a trial."),
--- a/node/src/main/java/org/fuchsiadeck/node/backend/AnswerHead.java
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/AnswerHead.java
@@ -18,7 +18,8 @@
  * @param notRun whether the server reports that it did not run the request
  * @param forwardsError whether a server error is forwarded to the caller unchanged
  * @param report the load report of the server; empty if there is none
- * @param invalidReport a load report that could not be parsed, for the log
+ * @param invalidReport a pause or limit that could not be parsed, for the log
+ * @param invalidLoad a load header of which a part could not be used, for the log
  * @param contentType the content type; empty if the head has none
  * @param delimited whether the end of the body is known without the connection closing
  * @param headers the header fields that are forwarded to the caller
@@ -31,6 +32,7 @@
         boolean forwardsError,
         Optional<BackendReport> report,
         Optional<String> invalidReport,
+        Optional<String> invalidLoad,
         Optional<String> contentType,
         boolean delimited,
         List<Header> headers) {
@@ -42,6 +44,7 @@
         requireNonNull(answeredAttempt, "answers");
         requireNonNull(report, "report");
         requireNonNull(invalidReport, "unreadable");
+        requireNonNull(invalidLoad, "invalidLoad");
         requireNonNull(contentType, "contentType");
         headers = List.copyOf(headers);
     }
--- a/node/src/main/java/org/fuchsiadeck/node/backend/Attempt.java
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/Attempt.java
@@ -130,6 +130,7 @@
         }
         report = head.report();
         head.invalidReport().ifPresent(text -> resources.logInvalidReport(dispatch, text));
+        head.invalidLoad().ifPresent(text -> resources.countInvalidLoad(dispatch, text));
         startReading(head);
     }
 
--- a/node/src/main/java/org/fuchsiadeck/node/backend/AttemptResources.java
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/AttemptResources.java
@@ -2,9 +2,12 @@
 
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import org.fuchsiadeck.core.Effect;
@@ -24,6 +27,12 @@
     /** Time without received bytes after which a connection that waits for the end of a body is closed. */
     private static final long END_WAIT_MS = 1_000;
 
+    /** Least time between log lines of invalid load headers, which may come with every answer, in milliseconds. */
+    private static final long INVALID_LOAD_LOG_MS = 10_000;
+
+    /** Longest part of an invalid header that is logged, in characters. */
+    private static final int MAX_LOGGED_CHARS = 64;
+
     private final BackendProtocol protocol;
     private final EventSink events;
     private final EffectHandler<Effect.Log> log;
@@ -31,6 +40,8 @@
     private final int maxAnswerBytes;
     private final Predicate<BackendId> departed;
     private final Histogram writeWaits;
+    private final Counter invalidLoads;
+    private final AtomicLong invalidLoadLogDueMs = new AtomicLong(Long.MIN_VALUE);
     private final ConnectionPool pool = new ConnectionPool();
     private final Map<HttpConnection, Boolean> awaitingEnd = new ConcurrentHashMap<>();
 
@@ -42,6 +53,7 @@
             int maxAnswerBytes,
             Predicate<BackendId> departed) {
         this.departed = departed;
+        this.invalidLoads = metrics.counter("backend.invalid_loads");
         this.writeWaits = metrics.histogram("backend.write_wait_ms");
         this.protocol = protocol;
         this.events = events;
@@ -115,7 +127,26 @@
         log.handle(new Effect.Log(EventCode.STALE_ANSWER, peer + " " + detail));
     }
 
-    /** Logs a load report that could not be parsed. */
+    /** Counts a load header that is invalid in part, and logs one at most every {@link #INVALID_LOAD_LOG_MS}. */
+    void countInvalidLoad(RequestEffect.Dispatch dispatch, String text) {
+        invalidLoads.inc();
+        long now = TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+        long due = invalidLoadLogDueMs.get();
+        if (now >= due && invalidLoadLogDueMs.compareAndSet(due, now + INVALID_LOAD_LOG_MS)) {
+            log.handle(new Effect.Log(
+                    EventCode.BACKEND_BAD_LOAD,
+                    "",
+                    Map.of(
+                            "server",
+                            dispatch.backend().id(),
+                            "seen",
+                            text.substring(0, Math.min(text.length(), MAX_LOGGED_CHARS)),
+                            "total",
+                            invalidLoads.getCount())));
+        }
+    }
+
+    /** Logs a pause or limit that could not be parsed. */
     void logInvalidReport(RequestEffect.Dispatch dispatch, String text) {
         log.handle(new Effect.Log(
                 EventCode.BACKEND_BAD_PAUSE,
--- a/node/src/main/java/org/fuchsiadeck/node/backend/StandardBackendProtocol.java
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/StandardBackendProtocol.java
@@ -75,6 +75,7 @@
                 false,
                 Optional.ofNullable(head.getHeader(Headers.LOAD)).flatMap(LoadHeader::parse),
                 Optional.empty(),
+                Optional.empty(),
                 Optional.ofNullable(head.getContentType()),
                 AnswerHead.isDelimited(head),
                 List.of());
