Choose servers by their reported and learned speed

Cause: all servers counted as equally fast. Some run at about half the speed of others for their whole lifetime, and other work slows any of them down for some hundred milliseconds at a time.

Change: the package core.speed. A reported slowdown weighs on a server's speed for 500 ms. A linear fit for each service gives the expected time to first byte of attempts that found their server nearly idle; the sums of observed and expected times of each server give its speed, relative to all servers of the service. Nodes share the sums in their reports, eight servers at a time. Both routers use the speed, prefixes are owned in proportion to the rounded speed, and requests without a prompt go by the service's mean time. All of it only for services that report a slowdown.

The times are a field of their own in the protobuf message, written as an unknown field: its number is reserved in share.proto.

--- a/core/src/main/java/org/fuchsiadeck/core/NodeState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/NodeState.java
@@ -19,6 +19,7 @@
 import org.fuchsiadeck.core.share.ShareReport;
 import org.fuchsiadeck.core.share.ShareRules;
 import org.fuchsiadeck.core.share.ShareState;
+import org.fuchsiadeck.core.speed.ServerTimes;
 
 import static java.util.Objects.requireNonNull;
 
@@ -169,6 +170,21 @@
                     .getOrElse(OptionalDouble.empty());
         }
 
+        @Override
+        public Map<BackendId, ServerTimes> serverTimes(long nowMs) {
+            return state.requests.speeds().timesAt(nowMs);
+        }
+
+        @Override
+        public double serverSpeed(BackendId id) {
+            return state.requests.speeds().learnedSpeed(id);
+        }
+
+        @Override
+        public OptionalDouble tokensPerMs(String service) {
+            return state.requests.speeds().tokensPerMs(service);
+        }
+
         @Override
         public Map<String, Long> newestRevisions() {
             WatchedKeys servers = state.directory.servers();
--- a/core/src/main/java/org/fuchsiadeck/core/View.java
+++ b/core/src/main/java/org/fuchsiadeck/core/View.java
@@ -10,6 +10,7 @@
 import org.fuchsiadeck.core.quarantine.QuarantineState;
 import org.fuchsiadeck.core.share.ShareRules;
 import org.fuchsiadeck.core.share.ShareState;
+import org.fuchsiadeck.core.speed.ServerTimes;
 
 import static java.util.Objects.requireNonNull;
 
@@ -108,6 +109,37 @@
             return OptionalDouble.empty();
         }
 
+        /**
+         * Returns the sums of observed and expected times of this node's attempts, for services whose servers report a
+         * slowdown.
+         *
+         * @param nowMs the time, in milliseconds
+         * @return the sums by server
+         */
+        default Map<BackendId, ServerTimes> serverTimes(long nowMs) {
+            return Map.of();
+        }
+
+        /**
+         * Returns the learned speed of a server.
+         *
+         * @param id the server
+         * @return the speed relative to the usual one of its service; 1 if not known
+         */
+        default double serverSpeed(BackendId id) {
+            return 1;
+        }
+
+        /**
+         * Returns the observed rate at which the servers of a service process prompts.
+         *
+         * @param service the service
+         * @return tokens per millisecond; empty if not known
+         */
+        default OptionalDouble tokensPerMs(String service) {
+            return OptionalDouble.empty();
+        }
+
         /**
          * Returns the newest revisions in the platform's key-value service that this node has seen.
          *
--- a/core/src/main/java/org/fuchsiadeck/core/model/EngineTime.java
+++ b/core/src/main/java/org/fuchsiadeck/core/model/EngineTime.java
@@ -21,6 +21,18 @@
      * @return the engine time, in milliseconds
      */
     public static double estimateRequestMs(int unread, int maxTokens) {
-        return unread / PREFILL_TOKENS_PER_MS + maxTokens * GENERATED_TOKEN_MS;
+        return estimateRequestMs(unread, maxTokens, PREFILL_TOKENS_PER_MS);
+    }
+
+    /**
+     * Estimates the engine time of a request on engines whose prefill rate is known.
+     *
+     * @param unread the prompt tokens that are not in the cache of the engine
+     * @param maxTokens the maximum number of tokens to generate
+     * @param tokensPerMs the prompt tokens that an engine processes per millisecond
+     * @return the engine time, in milliseconds
+     */
+    public static double estimateRequestMs(int unread, int maxTokens, double tokensPerMs) {
+        return unread / tokensPerMs + maxTokens * GENERATED_TOKEN_MS;
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/request/Attempt.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Attempt.java
@@ -22,6 +22,7 @@
  * @param dueMs the time by which the next event must arrive, in milliseconds
  * @param armedMs the time at which the attempt's timer fires, in milliseconds
  * @param unread the number of prompt tokens that the server had to process at the time of dispatch
+ * @param unreadAhead the number of prompt tokens of this node's earlier attempts that it had to process at that time
  */
 public record Attempt(
         int number,
@@ -37,7 +38,8 @@
         long lastMs,
         long dueMs,
         long armedMs,
-        int unread) {
+        int unread,
+        int unreadAhead) {
     public Attempt {
         requireNonNull(backend, "backend");
         requireNonNull(cause, "cause");
@@ -60,7 +62,8 @@
                 nowMs,
                 dueMs,
                 dueMs,
-                unread);
+                unread,
+                server.unread());
     }
 
     Attempt withWritten(long nowMs, long due) {
@@ -78,7 +81,8 @@
                 nowMs,
                 due,
                 armedMs,
-                unread);
+                unread,
+                unreadAhead);
     }
 
     Attempt withFirstByte(long nowMs, long due) {
@@ -97,7 +101,8 @@
                 nowMs,
                 due,
                 armedMs,
-                unread);
+                unread,
+                unreadAhead);
     }
 
     Attempt withProgress(int delivered, long nowMs, long due) {
@@ -115,7 +120,8 @@
                 nowMs,
                 due,
                 armedMs,
-                unread);
+                unread,
+                unreadAhead);
     }
 
     Attempt withDue(long due) {
@@ -133,7 +139,8 @@
                 lastMs,
                 due,
                 armedMs,
-                unread);
+                unread,
+                unreadAhead);
     }
 
     Attempt withTimer(long atMs) {
@@ -151,7 +158,8 @@
                 lastMs,
                 dueMs,
                 atMs,
-                unread);
+                unread,
+                unreadAhead);
     }
 
     /**
--- a/core/src/main/java/org/fuchsiadeck/core/request/AttemptAccounting.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/AttemptAccounting.java
@@ -122,6 +122,7 @@
         boolean knownToLeave = isLeaving(reduction, backend);
         long now = reduction.nowMs();
         reduction.updateFleet(f -> f.withReport(backend.id(), report, now));
+        ServerSpeeds.applyReport(reduction, backend, report);
         int maxQueued = MAX_QUEUED_PER_SLOT * backend.slots();
         if (report.load().filter(l -> l.queued() > maxQueued).isPresent()) {
             reduction.updateFleet(
--- a/core/src/main/java/org/fuchsiadeck/core/request/AttemptEventHandler.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/AttemptEventHandler.java
@@ -36,6 +36,7 @@
         }
         Attempt attempt = request.attempt().get();
         AttemptAccounting.applyReport(reduction, attempt, event.report(), true);
+        ServerSpeeds.observeFirstByte(reduction, attempt);
         AttemptAccounting.recordPromptRead(reduction, request);
         AttemptAccounting.clearSuspicion(reduction, attempt.backend());
         PromptChecks.recordServerAnswer(reduction, attempt);
@@ -76,6 +77,9 @@
         }
         Attempt attempt = request.attempt().get();
         AttemptAccounting.applyReport(reduction, attempt, event.report(), event.status() < MIN_ERROR_STATUS);
+        if (event.status() < MIN_ERROR_STATUS && request.call().completion().isEmpty()) {
+            ServerSpeeds.observeFirstByte(reduction, attempt);
+        }
         AttemptAccounting.recordPromptRead(reduction, request);
         ActiveRequest begun = markBegun(reduction, request, attempt.dispatchedMs());
         ActiveRequest completed =
--- a/core/src/main/java/org/fuchsiadeck/core/request/Dispatcher.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Dispatcher.java
@@ -7,7 +7,6 @@
 import org.fuchsiadeck.core.config.Policy;
 import org.fuchsiadeck.core.limit.ServiceLoad;
 import org.fuchsiadeck.core.model.Backend;
-import org.fuchsiadeck.core.model.EngineTime;
 import org.fuchsiadeck.core.request.RequestEvent.Timer;
 import org.fuchsiadeck.core.request.RequestEvent.TimerFired;
 import org.fuchsiadeck.core.routing.BackendStatus;
@@ -16,7 +15,6 @@
 import org.fuchsiadeck.core.routing.PlacementFinder.Availability;
 import org.fuchsiadeck.core.routing.PlacementFinder.PlacementResult;
 import org.fuchsiadeck.core.routing.RoutingContext;
-import org.fuchsiadeck.core.routing.ServerEstimates;
 import org.fuchsiadeck.core.share.ShareEvent;
 
 /**
@@ -44,7 +42,7 @@
                 b -> reduction.view().usage().inFlightElsewhere(reduction.nowMs(), b.id()),
                 b -> reduction.view().usage().unreadElsewhere(reduction.nowMs(), b.id()),
                 reduction.view().peers().alive().size() + 1,
-                ServerEstimates.standard(reduction.view().self().zone()));
+                ServerSpeeds.estimates(reduction, request));
         ToIntFunction<Backend> max = b -> Policies.of(reduction, b).backendConcurrency();
         return new PlacementFinder(reduction.state().fleet(), reduction.view().shares(), reduction.router(), max)
                 .find(request.wanted(), query);
@@ -99,7 +97,7 @@
                     .completion()
                     .ifPresent(c -> reduction.updateLoad(
                             request.route().service(),
-                            l -> l.withNewRequest(EngineTime.estimateRequestMs(unread, c.maxTokens()))));
+                            l -> l.withNewRequest(ServerSpeeds.requestMs(reduction, request, unread, c.maxTokens()))));
         } else {
             reduction.raise(new ShareEvent.Repeated(request.route().service()));
         }
--- a/core/src/main/java/org/fuchsiadeck/core/request/RequestReduction.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/RequestReduction.java
@@ -27,6 +27,7 @@
 import org.fuchsiadeck.core.routing.Router;
 import org.fuchsiadeck.core.routing.ServerLimit;
 import org.fuchsiadeck.core.routing.SplitMix;
+import org.fuchsiadeck.core.speed.SpeedState;
 
 /**
  * Collects the next state and the effects while one event is reduced. Each event is reduced with a new object.
@@ -101,6 +102,11 @@
         state = state.with(next);
     }
 
+    void updateSpeeds(UnaryOperator<SpeedState> change) {
+        SpeedState next = change.apply(state.speeds());
+        state = next == state.speeds() ? state : state.with(next);
+    }
+
     void updateLoad(String service, UnaryOperator<ServiceLoad> change) {
         ServiceLoad old = state.loads().getOrElse(service, ServiceLoad.NONE);
         state = state.withLoad(service, change.apply(old));
--- a/core/src/main/java/org/fuchsiadeck/core/request/RequestState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/RequestState.java
@@ -15,6 +15,7 @@
 import org.fuchsiadeck.core.model.RequestId;
 import org.fuchsiadeck.core.routing.BackendStatus;
 import org.fuchsiadeck.core.routing.Fleet;
+import org.fuchsiadeck.core.speed.SpeedState;
 
 import static java.util.Objects.requireNonNull;
 
@@ -31,6 +32,7 @@
  * @param decisions the latest decisions, oldest first
  * @param counters the counters since the node started
  * @param policies the cached policies
+ * @param speeds what is known of the speed of the servers
  */
 public record RequestState(
         Fleet fleet,
@@ -42,13 +44,15 @@
         Option<DrainState> drain,
         Queue<Decision> decisions,
         RequestCounters counters,
-        PolicyCache policies) {
+        PolicyCache policies,
+        SpeedState speeds) {
     public RequestState {
         requireNonNull(fleet, "fleet");
         requireNonNull(budget, "budget");
         requireNonNull(drain, "drain");
         requireNonNull(counters, "counters");
         requireNonNull(policies, "policies");
+        requireNonNull(speeds, "speeds");
     }
 
     /**
@@ -67,7 +71,8 @@
                 Option.none(),
                 Queue.empty(),
                 RequestCounters.ZERO,
-                PolicyCache.EMPTY);
+                PolicyCache.EMPTY,
+                SpeedState.NONE);
     }
 
     /**
@@ -110,45 +115,61 @@
     }
 
     RequestState with(Fleet next) {
-        return new RequestState(next, open, queues, loads, budget, draws, drain, decisions, counters, policies);
+        return new RequestState(next, open, queues, loads, budget, draws, drain, decisions, counters, policies, speeds);
     }
 
     RequestState withOpen(Map<RequestId, ActiveRequest> next) {
-        return new RequestState(fleet, next, queues, loads, budget, draws, drain, decisions, counters, policies);
+        return new RequestState(
+                fleet, next, queues, loads, budget, draws, drain, decisions, counters, policies, speeds);
     }
 
     RequestState withQueue(String service, FairQueue next) {
         Map<String, FairQueue> all = next.size() == 0 ? queues.remove(service) : queues.put(service, next);
-        return new RequestState(fleet, open, all, loads, budget, draws, drain, decisions, counters, policies);
+        return new RequestState(fleet, open, all, loads, budget, draws, drain, decisions, counters, policies, speeds);
     }
 
     RequestState withLoad(String service, ServiceLoad next) {
         return new RequestState(
-                fleet, open, queues, loads.put(service, next), budget, draws, drain, decisions, counters, policies);
+                fleet,
+                open,
+                queues,
+                loads.put(service, next),
+                budget,
+                draws,
+                drain,
+                decisions,
+                counters,
+                policies,
+                speeds);
     }
 
     RequestState with(RetryBudget next) {
-        return new RequestState(fleet, open, queues, loads, next, draws, drain, decisions, counters, policies);
+        return new RequestState(fleet, open, queues, loads, next, draws, drain, decisions, counters, policies, speeds);
     }
 
     RequestState withNextDraw() {
-        return new RequestState(fleet, open, queues, loads, budget, draws + 1, drain, decisions, counters, policies);
+        return new RequestState(
+                fleet, open, queues, loads, budget, draws + 1, drain, decisions, counters, policies, speeds);
     }
 
     RequestState with(DrainState next) {
         return new RequestState(
-                fleet, open, queues, loads, budget, draws, Option.some(next), decisions, counters, policies);
+                fleet, open, queues, loads, budget, draws, Option.some(next), decisions, counters, policies, speeds);
     }
 
     RequestState withDecisions(Queue<Decision> next) {
-        return new RequestState(fleet, open, queues, loads, budget, draws, drain, next, counters, policies);
+        return new RequestState(fleet, open, queues, loads, budget, draws, drain, next, counters, policies, speeds);
     }
 
     RequestState with(RequestCounters next) {
-        return new RequestState(fleet, open, queues, loads, budget, draws, drain, decisions, next, policies);
+        return new RequestState(fleet, open, queues, loads, budget, draws, drain, decisions, next, policies, speeds);
     }
 
     RequestState with(PolicyCache next) {
-        return new RequestState(fleet, open, queues, loads, budget, draws, drain, decisions, counters, next);
+        return new RequestState(fleet, open, queues, loads, budget, draws, drain, decisions, counters, next, speeds);
+    }
+
+    RequestState with(SpeedState next) {
+        return new RequestState(fleet, open, queues, loads, budget, draws, drain, decisions, counters, policies, next);
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/routing/AffinityRouter.java
+++ b/core/src/main/java/org/fuchsiadeck/core/routing/AffinityRouter.java
@@ -9,7 +9,6 @@
 
 import io.vavr.control.Option;
 import org.fuchsiadeck.core.model.BackendId;
-import org.fuchsiadeck.core.model.Rendezvous;
 
 /**
  * Routes each request to the backend server that has the fewest prompt tokens to process for it, among the servers that
@@ -106,6 +105,11 @@
         double waitMs =
                 ((inFlight + aboveSlots) * BUSY_MS + unreadAhead / estimates.prefillTokensPerMs()) / weight + zone;
         double readMs = unread(server, context, owners) / estimates.prefillTokensPerMs() / weight;
+        if (estimates.baseMs() > 0 && context.prompt().tokens() == 0) {
+            // All slots work at once; beyond them, requests wait for a slot.
+            double rounds = Math.max(1, (inFlight + 1) / server.backend().slots());
+            readMs += rounds * estimates.baseMs() / weight;
+        }
         double slackMs = SLACK * context.targetMs();
         return readMs + Math.max(0, waitMs - slackMs) + WITHIN_SLACK_WEIGHT * Math.min(waitMs, slackMs);
     }
@@ -132,23 +136,15 @@
     /** Returns the owner of each prefix except the whole prompt, which no other request shares. */
     private static List<BackendId> owners(Candidates candidates, RoutingContext context) {
         int shared = context.prompt().prefixTokens().size() - 1;
+        if (shared <= 0 || candidates.ids().isEmpty()) {
+            return List.of();
+        }
+        PrefixOwners servers =
+                PrefixOwners.of(candidates.ids(), context.estimates().ownerWeight());
         List<BackendId> owners = new ArrayList<>();
-        for (int i = 0; i < shared && !candidates.ids().isEmpty(); i++) {
-            owners.add(owner(candidates, context.prefixHashes().get(i)));
+        for (int i = 0; i < shared; i++) {
+            owners.add(servers.owner(context.prefixHashes().get(i)));
         }
         return owners;
     }
-
-    private static BackendId owner(Candidates candidates, long prefixHash) {
-        BackendId owner = null;
-        long highest = 0;
-        for (BackendId id : candidates.ids()) {
-            long score = SplitMix.mix(prefixHash ^ Rendezvous.hash(id.value()));
-            if (owner == null || Long.compareUnsigned(score, highest) > 0) {
-                owner = id;
-                highest = score;
-            }
-        }
-        return owner;
-    }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/routing/BetterOfTwoRouter.java
+++ b/core/src/main/java/org/fuchsiadeck/core/routing/BetterOfTwoRouter.java
@@ -80,13 +80,15 @@
     }
 
     /**
-     * Returns the load, normalized to a server of weight 1. The request to be placed is counted, so that an idle server
+     * Returns the load, normalized to a server of weight 1 and usual speed. The request to be placed is counted, so that an idle server
      * of greater weight is preferred to an idle one of lesser weight.
      */
     private static double normalizedLoad(BackendStatus server, RoutingContext context) {
         double load = server.loadAt(context.nowMs());
         double oneRequest = 1.0 / server.backend().slots();
-        return (load + oneRequest) / context.weight().applyAsDouble(server.backend()) - oneRequest;
+        double weight = context.weight().applyAsDouble(server.backend())
+                * context.estimates().speed().applyAsDouble(server.backend());
+        return (load + oneRequest) / weight - oneRequest;
     }
 
     private static double score(BackendStatus server, RoutingContext context, double meanPrice) {
--- a/core/src/main/java/org/fuchsiadeck/core/routing/ServerEstimates.java
+++ b/core/src/main/java/org/fuchsiadeck/core/routing/ServerEstimates.java
@@ -3,6 +3,7 @@
 import java.util.function.ToDoubleFunction;
 
 import org.fuchsiadeck.core.model.Backend;
+import org.fuchsiadeck.core.model.BackendId;
 import org.fuchsiadeck.core.model.EngineTime;
 import org.fuchsiadeck.core.model.Zone;
 
@@ -14,15 +15,36 @@
  * @param prefillTokensPerMs prompt tokens that a server of usual speed processes per millisecond
  * @param speed returns a server's speed relative to the usual one of its service; greater than 0
  * @param zoneCostMs returns the cost of using a server because of its availability zone, in milliseconds
+ * @param baseMs the time of a request without a prompt on an idle server of usual speed, in milliseconds; 0 where it is
+ *     not measured
+ * @param ownerWeight returns the relative number of shared prefixes that a server owns; it has few distinct values, on
+ *     which nodes agree
  */
 public record ServerEstimates(
-        double prefillTokensPerMs, ToDoubleFunction<Backend> speed, ToDoubleFunction<Backend> zoneCostMs) {
+        double prefillTokensPerMs,
+        ToDoubleFunction<Backend> speed,
+        ToDoubleFunction<Backend> zoneCostMs,
+        double baseMs,
+        ToDoubleFunction<BackendId> ownerWeight) {
     /** Cost of using another availability zone, in milliseconds: the network round trip and the price of the bytes. */
     private static final double OTHER_ZONE_MS = 2;
 
     public ServerEstimates {
         requireNonNull(speed, "speed");
         requireNonNull(zoneCostMs, "zoneCostMs");
+        requireNonNull(ownerWeight, "ownerWeight");
+    }
+
+    /**
+     * Creates estimates that concern only prompts, the waiting time and zones.
+     *
+     * @param prefillTokensPerMs the prompt tokens that a server of usual speed processes per millisecond
+     * @param speed returns the present speed of a server; 1 is usual
+     * @param zoneCostMs returns the cost of using the zone of a server, in milliseconds
+     */
+    public ServerEstimates(
+            double prefillTokensPerMs, ToDoubleFunction<Backend> speed, ToDoubleFunction<Backend> zoneCostMs) {
+        this(prefillTokensPerMs, speed, zoneCostMs, 0, id -> 1);
     }
 
     /**
--- a/core/src/main/java/org/fuchsiadeck/core/share/PeerUsage.java
+++ b/core/src/main/java/org/fuchsiadeck/core/share/PeerUsage.java
@@ -8,7 +8,9 @@
 import io.vavr.collection.HashMap;
 import io.vavr.collection.Map;
 import io.vavr.control.Option;
+import org.fuchsiadeck.core.model.BackendId;
 import org.fuchsiadeck.core.model.NodeId;
+import org.fuchsiadeck.core.speed.ServerTimes;
 
 import static java.util.Objects.requireNonNull;
 
@@ -46,6 +48,14 @@
     /** The key of a sum: the plane of its sender and the group that it covers. */
     record Sum(int plane, int group) {}
 
+    /**
+     * The times of a backend server with the time of their arrival.
+     *
+     * @param sums the sums of times
+     * @param atMs the time of arrival, in milliseconds
+     */
+    record ReceivedTimes(ServerTimes sums, long atMs) {}
+
     /**
      * A report or sum with the time of its arrival.
      *
@@ -53,22 +63,49 @@
      * @param nodes the number of nodes that it covers
      * @param atMs the time of arrival, in milliseconds
      * @param serversAtMs the time of arrival of the figures of backend servers, which may be older, in milliseconds
+     * @param times the times of backend servers, from this report and earlier ones, each of which has a part of them
      */
-    record ReceivedReport(ShareReport report, int nodes, long atMs, long serversAtMs) {
+    record ReceivedReport(
+            ShareReport report, int nodes, long atMs, long serversAtMs, Map<BackendId, ReceivedTimes> times) {
+        /** Age at which the times of a server that is in no report any more are dropped, in milliseconds. */
+        private static final long TIMES_RETENTION_MS = 600_000;
+
+        /** Time between checks for old times, in milliseconds. */
+        private static final long TIMES_CHECK_MS = 60_000;
+
         ReceivedReport {
             requireNonNull(report, "report");
+            requireNonNull(times, "times");
         }
 
         /** Returns the report as received, with the figures of backend servers of the one before if it has none. */
         static ReceivedReport of(ShareReport report, int nodes, long atMs, Option<ReceivedReport> before) {
             boolean whole = report.hasServers() || before.isEmpty();
+            Map<BackendId, ReceivedTimes> times = times(report, atMs, before);
             return whole
-                    ? new ReceivedReport(report, nodes, atMs, atMs)
+                    ? new ReceivedReport(report, nodes, atMs, atMs, times)
                     : new ReceivedReport(
                             report.withServersOf(before.get().report()),
                             nodes,
                             atMs,
-                            before.get().serversAtMs());
+                            before.get().serversAtMs(),
+                            times);
+        }
+
+        private static Map<BackendId, ReceivedTimes> times(
+                ShareReport report, long atMs, Option<ReceivedReport> before) {
+            Map<BackendId, ReceivedTimes> times =
+                    before.map(ReceivedReport::times).getOrElse(HashMap.empty());
+            boolean check =
+                    before.exists(b -> Math.floorDiv(b.atMs, TIMES_CHECK_MS) != Math.floorDiv(atMs, TIMES_CHECK_MS));
+            if (check) {
+                times = times.filterValues(t -> atMs - t.atMs() < TIMES_RETENTION_MS);
+            }
+            for (java.util.Map.Entry<BackendId, ServerTimes> entry :
+                    report.serverTimes().entrySet()) {
+                times = times.put(entry.getKey(), new ReceivedTimes(entry.getValue(), atMs));
+            }
+            return times;
         }
 
         boolean isFresh(long nowMs, long maxAgeMs) {
@@ -146,6 +183,23 @@
         return max;
     }
 
+    /** Returns the sums of times of a backend server from the source that has most of them. */
+    ServerTimes serverTimes(BackendId server) {
+        ServerTimes most = ServerTimes.NONE;
+        for (List<ReceivedReport> source : ways) {
+            ServerTimes sum = ServerTimes.NONE;
+            for (ReceivedReport received : source) {
+                sum = received.times()
+                        .get(server)
+                        .map(ReceivedTimes::sums)
+                        .map(sum::plus)
+                        .getOrElse(sum);
+            }
+            most = sum.expectedMs() > most.expectedMs() ? sum : most;
+        }
+        return most;
+    }
+
     /** Passes all reports and sums of all sources to a consumer; nodes may be covered more than once. */
     void forEach(Consumer<ReceivedReport> consumer) {
         ways.forEach(source -> source.forEach(consumer));
--- a/core/src/main/java/org/fuchsiadeck/core/share/ShareReport.java
+++ b/core/src/main/java/org/fuchsiadeck/core/share/ShareReport.java
@@ -5,6 +5,7 @@
 import org.fuchsiadeck.core.PeerMessage;
 import org.fuchsiadeck.core.model.BackendId;
 import org.fuchsiadeck.core.model.TeamId;
+import org.fuchsiadeck.core.speed.ServerTimes;
 
 /**
  * The current usage of an entry node, as it reports it to its peers. A report holds totals, not changes since the last
@@ -23,6 +24,8 @@
  *     backend server
  * @param hasServers whether {@code inFlight} and {@code unread} are included; otherwise those of the report before hold
  * @param newest the newest revisions seen in the platform's key-value service, by key prefix; also {@link #SERVED}
+ * @param serverTimes the observed and expected times of attempts of some backend servers; each report has another part
+ *     of them
  */
 public record ShareReport(
         long wallMs,
@@ -36,7 +39,8 @@
         Map<BackendId, Integer> inFlight,
         Map<BackendId, Integer> unread,
         boolean hasServers,
-        Map<String, Long> newest)
+        Map<String, Long> newest,
+        Map<BackendId, ServerTimes> serverTimes)
         implements PeerMessage {
     /** The entry of {@code newest} that is 1 if the key-value service has answered the node without interruption. */
     public static final String SERVED = "served";
@@ -50,6 +54,7 @@
         inFlight = Map.copyOf(inFlight);
         unread = Map.copyOf(unread);
         newest = Map.copyOf(newest);
+        serverTimes = Map.copyOf(serverTimes);
     }
 
     /** Returns this report without the figures of backend servers, which make up most of it in a large fleet. */
@@ -76,7 +81,8 @@
                 attempts,
                 tokens,
                 included,
-                newest);
+                newest,
+                included ? serverTimes : Map.of());
     }
 
     /**
--- a/core/src/main/java/org/fuchsiadeck/core/share/ShareReports.java
+++ b/core/src/main/java/org/fuchsiadeck/core/share/ShareReports.java
@@ -78,7 +78,8 @@
                 inFlight,
                 unread,
                 true,
-                newest);
+                newest,
+                ServerTimesParts.total(state, view, others));
     }
 
     /**
@@ -130,6 +131,7 @@
                 view.work().inFlight(),
                 view.work().unreadTokens(),
                 true,
-                view.work().newestRevisions());
+                view.work().newestRevisions(),
+                ServerTimesParts.local(view));
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/share/ShareState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/share/ShareState.java
@@ -12,6 +12,7 @@
 import org.fuchsiadeck.core.model.BackendId;
 import org.fuchsiadeck.core.model.NodeId;
 import org.fuchsiadeck.core.model.TeamId;
+import org.fuchsiadeck.core.speed.ServerTimes;
 
 import static java.util.Objects.requireNonNull;
 
@@ -183,6 +184,16 @@
                 r.hasFreshServers(nowMs, maxReportAgeMs()) ? r.report().unread().getOrDefault(server, 0) : 0);
     }
 
+    /**
+     * Returns the sums of observed and expected times at a backend server over the other nodes.
+     *
+     * @param server the backend server
+     * @return the sums according to the source that covers most
+     */
+    public ServerTimes serverTimesElsewhere(BackendId server) {
+        return hearing.serverTimes(server);
+    }
+
     /**
      * Returns the time of day by the median of the nodes' clocks, so that a step of this node's own clock has no
      * effect.
--- a/core/src/test/java/org/fuchsiadeck/core/directory/DirectoryReducerTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/directory/DirectoryReducerTest.java
@@ -266,7 +266,8 @@
                 Map.of(),
                 Map.of(),
                 true,
-                Map.of(ShareReport.SERVED, served ? 1L : 0L));
+                Map.of(ShareReport.SERVED, served ? 1L : 0L),
+                Map.of());
         View view =
                 new View(SELF, now, now, config, VersionShares.NONE, peers, use, Map::of, QuarantineState.initial());
         use = new ShareReducer()
--- a/node/src/main/java/org/fuchsiadeck/node/peer/ShareCodecs.java
+++ b/node/src/main/java/org/fuchsiadeck/node/peer/ShareCodecs.java
@@ -59,7 +59,8 @@
                 .putAllInFlight(named(m.inFlight(), BackendId::value))
                 .putAllUnread(named(m.unread(), BackendId::value))
                 .setWithoutServers(!m.hasServers())
-                .putAllNewest(m.newest());
+                .putAllNewest(m.newest())
+                .setUnknownFields(ServerTimesField.write(m.serverTimes()));
         m.services()
                 .forEach((service, use) -> p.addServices(ServiceUseProto.newBuilder()
                         .setService(service)
@@ -75,7 +76,7 @@
         return report(ShareReportProto.parseFrom(payload));
     }
 
-    private static ShareReport report(ShareReportProto p) {
+    private static ShareReport report(ShareReportProto p) throws InvalidProtocolBufferException {
         Map<String, ShareReport.ServiceUse> services = new HashMap<>();
         for (ServiceUseProto use : p.getServicesList()) {
             services.put(use.getService(), new ShareReport.ServiceUse(use.getRequests(), use.getRepeats()));
@@ -96,7 +97,8 @@
                 keyed(p.getInFlightMap(), BackendId::new),
                 keyed(p.getUnreadMap(), BackendId::new),
                 !p.getWithoutServers(),
-                p.getNewestMap());
+                p.getNewestMap(),
+                ServerTimesField.read(p.getUnknownFields()));
     }
 
     private static <K, V> Map<String, V> named(Map<K, V> map, Function<K, String> name) {
