Plan the number of servers by their speed

Cause: the number of servers needed was computed for servers of usual speed, so that a fleet of slow servers was too small.

Change: Demand divides the work by the mean learned speed of the existing servers, and FleetPlan counts the servers that remain after a loss by their speed and uses the fitted prefill rate for quotas. Without learned speeds all factors are 1.

Result: DemandTest and FleetPlanTest pass with the new cases.

--- a/core/src/main/java/org/fuchsiadeck/core/duty/Autoscaler.java
+++ b/core/src/main/java/org/fuchsiadeck/core/duty/Autoscaler.java
@@ -16,6 +16,7 @@
 import org.fuchsiadeck.core.config.ServiceScaling;
 import org.fuchsiadeck.core.model.Backend;
 import org.fuchsiadeck.core.model.BackendId;
+import org.fuchsiadeck.core.model.EngineTime;
 import org.fuchsiadeck.core.model.Zone;
 import org.fuchsiadeck.core.platform.PendingCall;
 
@@ -259,7 +260,34 @@
                 view.work().meanRequestMs(service),
                 inProgress,
                 slotsPerServer,
-                serverCount);
+                serverCount,
+                meanSpeed(view, service));
+    }
+
+    /** Returns the mean learned speed of the registered servers of a service; 1 if none is known. */
+    private double meanSpeed(View view, String service) {
+        return servers.stream()
+                .filter(s -> s.service().equals(service) && !s.leaving())
+                .mapToDouble(s -> view.work().serverSpeed(s.id()))
+                .average()
+                .orElse(1);
+    }
+
+    /** Returns the mean speed of a service's servers by zone and kind, where it differs from that of all of them. */
+    private Map<FleetPlan.Place, Double> relativeSpeeds(View view, String service) {
+        double mean = meanSpeed(view, service);
+        Map<FleetPlan.Place, Double> sums = new HashMap<>();
+        Map<FleetPlan.Place, Integer> counts = new HashMap<>();
+        for (Backend server : servers) {
+            if (server.service().equals(service) && !server.leaving()) {
+                FleetPlan.Place place = new FleetPlan.Place(server.zone(), server.reclaimable());
+                sums.merge(place, view.work().serverSpeed(server.id()), Double::sum);
+                counts.merge(place, 1, Integer::sum);
+            }
+        }
+        sums.replaceAll((place, sum) -> sum / counts.get(place) / mean);
+        sums.values().removeIf(speed -> speed == 1);
+        return sums;
     }
 
     private FleetPlan plan(View view, ServiceScaling scaling) {
@@ -292,12 +320,15 @@
         }
         int serversForQuotas = hasSteadyTraffic(service)
                 ? 0
-                : FleetPlan.serversForQuotas(view.config().teams());
+                : FleetPlan.serversForQuotas(
+                        view.config().teams(),
+                        view.work().tokensPerMs(service).orElse(EngineTime.PREFILL_TOKENS_PER_MS)
+                                * meanSpeed(view, service));
         return new FleetPlan(
                 scaling,
                 recentNeed(service),
                 serversForQuotas,
-                new FleetPlan.CurrentServers(registered, expected),
+                new FleetPlan.CurrentServers(registered, expected, relativeSpeeds(view, service)),
                 recentlyReclaimed,
                 unavailable);
     }
--- a/core/src/main/java/org/fuchsiadeck/core/duty/Demand.java
+++ b/core/src/main/java/org/fuchsiadeck/core/duty/Demand.java
@@ -16,9 +16,15 @@
  * @param attemptsInProgress attempts in progress at all servers
  * @param slotsPerServer the number of requests that a server processes concurrently
  * @param servers the number of existing servers
+ * @param meanSpeed the mean speed of the existing servers; 1 is the usual speed
  */
 record Demand(
-        double requestsPerS, OptionalDouble meanRequestMs, int attemptsInProgress, int slotsPerServer, int servers) {
+        double requestsPerS,
+        OptionalDouble meanRequestMs,
+        int attemptsInProgress,
+        int slotsPerServer,
+        int servers,
+        double meanSpeed) {
     /**
      * Maximum fraction of time in which a server is busy. In a queue with random arrivals a request then waits for two
      * thirds of the mean service time: 0.4 / (1 - 0.4).
@@ -39,6 +45,11 @@
 
     private static final double MS_PER_SECOND = 1_000;
 
+    /** Creates the demand on servers of the usual speed. */
+    Demand(double requestsPerS, OptionalDouble meanRequestMs, int attemptsInProgress, int slotsPerServer, int servers) {
+        this(requestsPerS, meanRequestMs, attemptsInProgress, slotsPerServer, servers, 1);
+    }
+
     /**
      * Returns the number of servers that serve the demand within the latency that callers expect.
      *
@@ -49,7 +60,7 @@
         double usedSlots = Math.min(attemptsInProgress, (double) servers * slotsPerServer);
         double bySlots = usedSlots / (slotsPerServer * MAX_BUSY_SLOTS);
         double byTime = meanRequestMs.isPresent()
-                ? requestsPerS * meanRequestMs.getAsDouble() / MS_PER_SECOND / MAX_BUSY_TIME
+                ? requestsPerS * meanRequestMs.getAsDouble() / MS_PER_SECOND / MAX_BUSY_TIME / meanSpeed
                 : Math.min(usedSlots, MAX_GROWTH * ATTEMPTS_PER_SERVER * servers) / ATTEMPTS_PER_SERVER;
         return Math.max(bySlots, byTime);
     }
--- a/core/src/main/java/org/fuchsiadeck/core/duty/FleetPlan.java
+++ b/core/src/main/java/org/fuchsiadeck/core/duty/FleetPlan.java
@@ -54,6 +54,9 @@
 
     private static final double MS_PER_SECOND = 1_000;
 
+    /** Fraction of a server that is not ordered, so that rounding of speeds orders none. */
+    private static final double ROUNDING_TOLERANCE = 1e-6;
+
     FleetPlan {
         requireNonNull(scaling, "scaling");
         requireNonNull(recentNeed, "recentNeed");
@@ -68,12 +71,23 @@
      * @return the number of servers; 0 if no team has a quota in tokens
      */
     static int serversForQuotas(List<Team> teams) {
+        return serversForQuotas(teams, EngineTime.PREFILL_TOKENS_PER_MS);
+    }
+
+    /**
+     * Returns the same for servers whose prefill rate is known.
+     *
+     * @param teams the teams
+     * @param tokensPerMs the prompt tokens that a server processes per millisecond
+     * @return the number of servers; 0 if no team has a quota in tokens
+     */
+    static int serversForQuotas(List<Team> teams, double tokensPerMs) {
         double tokens = teams.stream()
                 .map(Team::quota)
                 .filter(Quota::tokens)
                 .mapToDouble(Quota::ratePerSecond)
                 .sum();
-        return (int) Math.ceil(QUOTA_USE_FRACTION * tokens / (EngineTime.PREFILL_TOKENS_PER_MS * MS_PER_SECOND));
+        return (int) Math.ceil(QUOTA_USE_FRACTION * tokens / (tokensPerMs * MS_PER_SECOND));
     }
 
     /**
@@ -102,11 +116,23 @@
      *
      * @param registered registered servers, by zone and kind
      * @param ordered the same, but with the ordered number where an order is in progress
+     * @param speeds the mean speed of the registered servers by zone and kind, relative to the service's registered
+     *     servers together; left out where it is 1
      */
-    record CurrentServers(Map<Place, Integer> registered, Map<Place, Integer> ordered) {
+    record CurrentServers(Map<Place, Integer> registered, Map<Place, Integer> ordered, Map<Place, Double> speeds) {
         CurrentServers {
             registered = Map.copyOf(registered);
             ordered = Map.copyOf(ordered);
+            speeds = Map.copyOf(speeds);
+        }
+
+        /** Creates the servers of a service that are equally fast. */
+        CurrentServers(Map<Place, Integer> registered, Map<Place, Integer> ordered) {
+            this(registered, ordered, Map.of());
+        }
+
+        double speed(Zone zone) {
+            return speeds.getOrDefault(new Place(zone, true), 1.0);
         }
 
         int registered(Zone zone) {
@@ -147,19 +173,21 @@
     }
 
     /**
-     * Returns the number of servers that reclaimable ones do not cover, now or after the expected loss of one more
+     * Returns the number of servers, of mean speed, that reclaimable ones do not cover, now or after the expected loss of one more
      * zone.
      */
     private int gap(List<Zone> zones, Map<Zone, Integer> reclaimable) {
-        int registered = 0;
-        int largestZone = 0;
+        double registered = 0;
+        double largestZone = 0;
         for (Zone zone : zones) {
             int inZone = Math.min(reclaimable.getOrDefault(zone, Integer.MAX_VALUE), current.registered(zone));
-            registered += inZone;
-            largestZone = Math.max(largestZone, inZone);
+            double capacity = inZone * current.speed(zone);
+            registered += capacity;
+            largestZone = Math.max(largestZone, capacity);
         }
         int needed = Math.max(Math.max(MIN_SERVERS, serversForQuotas), (int) Math.ceil(recentNeed.median()));
-        return Math.max(0, needed - (recentlyReclaimed ? registered - largestZone : registered));
+        double remaining = recentlyReclaimed ? registered - largestZone : registered;
+        return (int) Math.max(0, Math.ceil(needed - remaining - ROUNDING_TOLERANCE));
     }
 
     /**
--- a/core/src/test/java/org/fuchsiadeck/core/duty/DemandTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/duty/DemandTest.java
@@ -45,6 +45,14 @@
         assertThat(needed(70, 40, 0, 0)).isCloseTo(before, within(0.01));
     }
 
+    /** Twice as many servers of half the speed do the same work. */
+    @Test
+    void slowServersCountLess() {
+        Demand usual = new Demand(70, OptionalDouble.of(40), 20, SLOTS, 8, 1);
+        Demand slow = new Demand(70, OptionalDouble.of(40), 20, SLOTS, 8, 0.5);
+        assertThat(slow.serversNeeded()).isCloseTo(2 * usual.serversNeeded(), within(1e-9));
+    }
+
     @Test
     void occupiedSlotsIncreaseServersNeeded() {
         assertThat(needed(10, 10, 4 * SLOTS, 4)).isGreaterThan(5);
--- a/core/src/test/java/org/fuchsiadeck/core/duty/FleetPlanTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/duty/FleetPlanTest.java
@@ -88,6 +88,28 @@
         assertThat(sum(plan.targetCounts(), true)).isEqualTo(PRICES.size() * CHEAP_RECLAIMABLE.max());
     }
 
+    /** What remains after a reclaimed zone counts by its speed, not only by the number of servers. */
+    @Test
+    void ordersMoreWhereTheRemainingServersAreSlow() {
+        Map<Place, Integer> registered = Map.of(new Place(A, true), 4, new Place(B, true), 4);
+        int equal = onDemandAfterReclaim(new CurrentServers(registered, registered));
+        int slow = onDemandAfterReclaim(
+                new CurrentServers(registered, registered, Map.of(new Place(A, true), 0.5, new Place(B, true), 1.5)));
+        assertThat(slow).isEqualTo(equal + 2);
+    }
+
+    private static int onDemandAfterReclaim(CurrentServers current) {
+        ServiceScaling large = new ServiceScaling("s", 1, 20, 4_000, 0.15, PRICES);
+        FleetPlan plan = new FleetPlan(large, new RecentNeed(12, 12), 0, current, true, Set.of());
+        return sum(plan.targetCounts(), false);
+    }
+
+    @Test
+    void aFasterPrefillRateNeedsFewerServersForQuotas() {
+        Team team = new Team(new TeamId("t"), 1, 0, new Quota(1_600_000, 0, true, 200));
+        assertThat(FleetPlan.serversForQuotas(List.of(team), 160)).isEqualTo(8);
+    }
+
     /** Servers given up before the first request of the day would not be back when the load peaks. */
     @Test
     void sizesByQuotasBeforeTraffic() {
