--- a/core/src/main/java/org/fuchsiadeck/core/EventCode.java
+++ b/core/src/main/java/org/fuchsiadeck/core/EventCode.java
@@ -44,6 +44,7 @@
     ZONE_SPILL_STARTED(
             2112, Level.INFO, "Part of a zone's requests is sent to other zones, whose servers have shorter waits."),
     ZONE_SPILL_ENDED(2113, Level.INFO, "A zone's requests stay in the zone again."),
+    BACKEND_BAD_LOAD(2114, Level.WARN, "A backend server sent a load header of which a part is invalid and not used."),
     PROMPT_PART_QUARANTINED(
             2201, Level.WARN, "Requests with prompt parts under which backend servers crash are rejected for a while."),
     PROMPT_PART_TRIED(2202, Level.INFO, "A request with quarantined prompt parts is sent to a server as a trial."),
--- a/core/src/main/java/org/fuchsiadeck/core/request/Dispatcher.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Dispatcher.java
@@ -7,7 +7,6 @@
 import org.fuchsiadeck.core.config.Policy;
 import org.fuchsiadeck.core.limit.ServiceLoad;
 import org.fuchsiadeck.core.model.Backend;
-import org.fuchsiadeck.core.model.EngineTime;
 import org.fuchsiadeck.core.request.RequestEvent.Timer;
 import org.fuchsiadeck.core.request.RequestEvent.TimerFired;
 import org.fuchsiadeck.core.routing.BackendStatus;
@@ -51,11 +50,10 @@
     }
 
     private static ServerEstimates estimates(RequestReduction reduction, ActiveRequest request, long seed) {
-        ServerEstimates standard =
-                ServerEstimates.standard(reduction.view().self().zone());
+        ServerEstimates bySpeed = ServerSpeeds.estimates(reduction, request);
         return SharedScheduling.isOn(reduction, request.route())
-                ? ZoneSpills.estimates(reduction, request, seed, standard)
-                : standard;
+                ? ZoneSpills.estimates(reduction, request, seed, bySpeed)
+                : bySpeed;
     }
 
     /** Returns the refusal of a new request if no server may take it, now or later in the queue. */
@@ -107,7 +105,7 @@
                     .completion()
                     .ifPresent(c -> reduction.updateLoad(
                             request.route().service(),
-                            l -> l.withNewRequest(EngineTime.estimateRequestMs(unread, c.maxTokens()))));
+                            l -> l.withNewRequest(ServerSpeeds.requestMs(reduction, request, unread, c.maxTokens()))));
         } else {
             reduction.raise(new ShareEvent.Repeated(request.route().service()));
         }
--- a/core/src/main/java/org/fuchsiadeck/core/request/RequestState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/RequestState.java
@@ -19,6 +19,7 @@
 import org.fuchsiadeck.core.routing.Fleet;
 import org.fuchsiadeck.core.routing.Need;
 import org.fuchsiadeck.core.routing.ZoneSpill;
+import org.fuchsiadeck.core.speed.SpeedState;
 
 import static java.util.Objects.requireNonNull;
 
@@ -36,6 +37,7 @@
  * @param counters the counters since the node started
  * @param policies the cached policies
  * @param spills the spillover to other availability zones, by need
+ * @param speeds what is known of the speed of the servers
  */
 public record RequestState(
         Fleet fleet,
@@ -48,7 +50,8 @@
         Queue<Decision> decisions,
         RequestCounters counters,
         PolicyCache policies,
-        Map<Need, ZoneSpill> spills) {
+        Map<Need, ZoneSpill> spills,
+        SpeedState speeds) {
     public RequestState {
         requireNonNull(fleet, "fleet");
         requireNonNull(budget, "budget");
@@ -56,6 +59,7 @@
         requireNonNull(counters, "counters");
         requireNonNull(policies, "policies");
         requireNonNull(spills, "spills");
+        requireNonNull(speeds, "speeds");
     }
 
     /**
@@ -75,7 +79,8 @@
                 Queue.empty(),
                 RequestCounters.ZERO,
                 PolicyCache.EMPTY,
-                HashMap.empty());
+                HashMap.empty(),
+                SpeedState.NONE);
     }
 
     /**
@@ -141,17 +146,19 @@
     }
 
     RequestState with(Fleet next) {
-        return new RequestState(next, open, queues, loads, budget, draws, drain, decisions, counters, policies, spills);
+        return new RequestState(
+                next, open, queues, loads, budget, draws, drain, decisions, counters, policies, spills, speeds);
     }
 
     RequestState withOpen(Map<RequestId, ActiveRequest> next) {
         return new RequestState(
-                fleet, next, queues, loads, budget, draws, drain, decisions, counters, policies, spills);
+                fleet, next, queues, loads, budget, draws, drain, decisions, counters, policies, spills, speeds);
     }
 
     RequestState withQueue(String service, FairQueue next) {
         Map<String, FairQueue> all = next.size() == 0 ? queues.remove(service) : queues.put(service, next);
-        return new RequestState(fleet, open, all, loads, budget, draws, drain, decisions, counters, policies, spills);
+        return new RequestState(
+                fleet, open, all, loads, budget, draws, drain, decisions, counters, policies, spills, speeds);
     }
 
     RequestState withLoad(String service, ServiceLoad next) {
@@ -166,36 +173,58 @@
                 decisions,
                 counters,
                 policies,
-                spills);
+                spills,
+                speeds);
     }
 
     RequestState with(RetryBudget next) {
-        return new RequestState(fleet, open, queues, loads, next, draws, drain, decisions, counters, policies, spills);
+        return new RequestState(
+                fleet, open, queues, loads, next, draws, drain, decisions, counters, policies, spills, speeds);
     }
 
     RequestState withNextDraw() {
         return new RequestState(
-                fleet, open, queues, loads, budget, draws + 1, drain, decisions, counters, policies, spills);
+                fleet, open, queues, loads, budget, draws + 1, drain, decisions, counters, policies, spills, speeds);
     }
 
     RequestState with(DrainState next) {
         return new RequestState(
-                fleet, open, queues, loads, budget, draws, Option.some(next), decisions, counters, policies, spills);
+                fleet,
+                open,
+                queues,
+                loads,
+                budget,
+                draws,
+                Option.some(next),
+                decisions,
+                counters,
+                policies,
+                spills,
+                speeds);
     }
 
     RequestState withDecisions(Queue<Decision> next) {
-        return new RequestState(fleet, open, queues, loads, budget, draws, drain, next, counters, policies, spills);
+        return new RequestState(
+                fleet, open, queues, loads, budget, draws, drain, next, counters, policies, spills, speeds);
     }
 
     RequestState with(RequestCounters next) {
-        return new RequestState(fleet, open, queues, loads, budget, draws, drain, decisions, next, policies, spills);
+        return new RequestState(
+                fleet, open, queues, loads, budget, draws, drain, decisions, next, policies, spills, speeds);
     }
 
     RequestState with(PolicyCache next) {
-        return new RequestState(fleet, open, queues, loads, budget, draws, drain, decisions, counters, next, spills);
+        return new RequestState(
+                fleet, open, queues, loads, budget, draws, drain, decisions, counters, next, spills, speeds);
     }
 
     RequestState withSpills(Map<Need, ZoneSpill> next) {
-        return new RequestState(fleet, open, queues, loads, budget, draws, drain, decisions, counters, policies, next);
+        return new RequestState(
+                fleet, open, queues, loads, budget, draws, drain, decisions, counters, policies, next, speeds);
+    }
+
+    RequestState with(SpeedState next) {
+        return new RequestState(
+                fleet, open, queues, loads, budget, draws, drain, decisions, counters, policies, spills, next);
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/routing/ZoneSpill.java
+++ b/core/src/main/java/org/fuchsiadeck/core/routing/ZoneSpill.java
@@ -285,11 +285,8 @@
                     b.zone().equals(own) || informed && loads.get(b.zone()).exists(ZoneLoad::isUsable);
             return known ? requestMs : UNKNOWN_MS;
         };
-        return new ServerEstimates(
-                base.prefillTokensPerMs(),
-                base.speed(),
-                cost,
-                picked.flatMap(z -> loads.get(z).toJavaOptional()).map(ZoneLoad::servers));
+        return base.withZones(
+                cost, picked.flatMap(z -> loads.get(z).toJavaOptional()).map(ZoneLoad::servers));
     }
 
     /** The distribution of requests that equalizes the predicted waits. */
--- a/core/src/main/java/org/fuchsiadeck/core/share/ShareState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/share/ShareState.java
@@ -14,6 +14,7 @@
 import org.fuchsiadeck.core.model.BackendId;
 import org.fuchsiadeck.core.model.NodeId;
 import org.fuchsiadeck.core.model.TeamId;
+import org.fuchsiadeck.core.speed.ServerTimes;
 
 import static java.util.Objects.requireNonNull;
 
@@ -249,6 +250,16 @@
         return 1 + (int) hearing.maxSum(r -> r.hasFreshServers(nowMs, maxReportAgeMs()) ? r.nodes() : 0);
     }
 
+    /**
+     * Returns the sums of observed and expected times at a backend server over the other nodes.
+     *
+     * @param server the backend server
+     * @return the sums according to the source that covers most
+     */
+    public ServerTimes serverTimesElsewhere(BackendId server) {
+        return hearing.serverTimes(server);
+    }
+
     /**
      * Returns the time of day by the median of the nodes' clocks, so that a step of this node's own clock has no
      * effect.
--- a/core/src/test/java/org/fuchsiadeck/core/routing/AffinityRouterTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/routing/AffinityRouterTest.java
@@ -136,7 +136,12 @@
         Candidates candidates =
                 new Candidates(Array.ofAll(servers.keySet()).sorted(), id -> Option.of(servers.get(id)));
         ServerEstimates estimates = new ServerEstimates(
-                80, b -> 1, b -> members.contains(b.id()) ? 0 : transferMs, Optional.of(HashSet.ofAll(members)));
+                80,
+                b -> 1,
+                b -> members.contains(b.id()) ? 0 : transferMs,
+                0,
+                id -> 1,
+                Optional.of(HashSet.ofAll(members)));
         RoutingContext context = new RoutingContext(
                 0,
                 ZONE,
