Send no request whose caller left while the node was behind

Cause: a node that is short of processor time reads a request late, together with the end of its connection, and the event of the close waits behind other requests. Requests were sent to servers 0.4 to 3.5 s after their callers had left, and the caller's time was counted from the late read.

Change: an attempt starts and writes only while the caller's connection is known to be open. While the event loop or a selector thread is more than 100 ms late, the connection is polled once more before. The close is reported by an urgent event too. The reducer ignores that one for a request that must not run twice and may have been written unnoticed; the event in order decides as before. Counters backend.caller_checks, backend.not_sent and backend.failed.node_behind, event REQUEST_NOT_SENT.

DataPathModel reports a close by either form of the event; an answer is an error once the reducer has taken the disconnect, as before.

--- a/core/src/main/java/org/fuchsiadeck/core/Event.java
+++ b/core/src/main/java/org/fuchsiadeck/core/Event.java
@@ -6,7 +6,7 @@
 public interface Event {
     /**
      * Returns whether the event is handled before others that wait. Such events keep up to date what decisions on requests
-     * depend on, and are few, whatever the number of requests.
+     * depend on, or end work that nobody waits for. They are few: at most one for each request.
      *
      * @return whether the event is urgent
      */
--- a/core/src/main/java/org/fuchsiadeck/core/EventCode.java
+++ b/core/src/main/java/org/fuchsiadeck/core/EventCode.java
@@ -28,6 +28,7 @@
     REQUEST_STAYS(2014, Level.INFO, "A request finishes on a backend server that is leaving."),
     REQUEST_DUPLICATE(2015, Level.INFO, "An earlier request has the same idempotency key."),
     ATTEMPT_LOST(2016, Level.INFO, "A backend server closed its connection before the answer was complete."),
+    REQUEST_NOT_SENT(2017, Level.INFO, "A request was not sent to a server, since its caller had left."),
     BACKEND_SUSPECTED(2101, Level.WARN, "A backend server is suspected and gets no new work for a while."),
     BACKEND_LEAVING(2102, Level.INFO, "A backend server is leaving and gets no new work."),
     BACKEND_LISTED(2103, Level.INFO, "A backend server's entry is new or has changed."),
--- a/core/src/main/java/org/fuchsiadeck/core/request/Admission.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Admission.java
@@ -18,6 +18,9 @@
     private static final int STATUS_TOO_LARGE = 413;
     private static final long MIN_RETRY_AFTER_MS = 1_000;
 
+    /** Delay of an arrival up to which the node is not behind, in milliseconds; the deadline is not shortened by it. */
+    private static final long MAX_USUAL_DELAY_MS = 100;
+
     private Admission() {}
 
     static void onArrived(RequestReduction reduction, RequestEvent.Arrived arrived) {
@@ -33,8 +36,8 @@
             return;
         }
         double draw = SplitMix.toFraction(reduction.randomBits());
-        ActiveRequest request =
-                ActiveRequest.arrived(arrived.id(), call, drawService(reduction, route.get()), reduction.nowMs(), draw);
+        ActiveRequest request = ActiveRequest.arrived(
+                arrived.id(), call, drawService(reduction, route.get()), sinceMs(reduction, arrived), draw);
         if (reduction.state().drain().isDefined()) {
             RequestFinisher.refuse(
                     reduction, request, new Refusal("draining", reduction.withJitter(MIN_RETRY_AFTER_MS)));
@@ -44,6 +47,10 @@
             RequestFinisher.refuse(reduction, request, new Refusal(STATUS_TOO_LARGE, "body_too_large", 0));
             return;
         }
+        if (request.deadlineMs() <= reduction.nowMs()) {
+            RequestFinisher.fail(reduction, request, EndReason.DEADLINE);
+            return;
+        }
         Optional<Refusal> overQuota = Quotas.refusal(reduction, request);
         if (overQuota.isPresent()) {
             RequestFinisher.refuse(reduction, request, overQuota.get());
@@ -55,6 +62,13 @@
         claimOrAdmit(reduction, request);
     }
 
+    /** Returns the time from which the caller waits, in monotonic milliseconds. */
+    private static long sinceMs(RequestReduction reduction, RequestEvent.Arrived arrived) {
+        long now = reduction.nowMs();
+        long received = arrived.receivedMs().orElse(now);
+        return now - received > MAX_USUAL_DELAY_MS ? received : now;
+    }
+
     static void onClaimGranted(RequestReduction reduction, ActiveRequest request) {
         if (request.stage() == RequestStage.CLAIMING) {
             admit(reduction, request, Dispatcher.findServer(reduction, request));
--- a/core/src/main/java/org/fuchsiadeck/core/request/AttemptAccounting.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/AttemptAccounting.java
@@ -176,7 +176,7 @@
     private static Verdict verdictOf(Failure failure) {
         return switch (failure.kind()) {
             case BAD_ANSWER -> Verdict.CORRUPT;
-            case NO_ROOM -> Verdict.NEUTRAL;
+            case NO_ROOM, NODE_BEHIND -> Verdict.NEUTRAL;
             default -> Verdict.FAILED;
         };
     }
@@ -184,7 +184,7 @@
     private static Evidence evidenceOf(Failure failure) {
         return switch (failure.kind()) {
             case UNREACHABLE -> Evidence.SERVER;
-            case REFUSED_NOT_RUN, NO_ROOM -> Evidence.NONE;
+            case REFUSED_NOT_RUN, NO_ROOM, NODE_BEHIND -> Evidence.NONE;
             default -> Evidence.CONNECTION;
         };
     }
--- a/core/src/main/java/org/fuchsiadeck/core/request/CallerDisconnects.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/CallerDisconnects.java
@@ -12,8 +12,8 @@
      * Ends a request whose caller has disconnected. A request that is not idempotent, takes no stream and was written
      * continues, so that its idempotency claim can be settled with the actual outcome.
      */
-    static void onCallerGone(RequestReduction reduction, ActiveRequest request) {
-        if (request.callerGone()) {
+    static void onCallerGone(RequestReduction reduction, ActiveRequest request, RequestEvent.CallerGone event) {
+        if (request.callerGone() || event.isUrgent() && mayBeWrittenUnnoticed(request)) {
             return;
         }
         reduction.updateCounters(RequestCounters::plusCallerGone);
@@ -36,6 +36,14 @@
         }
     }
 
+    /**
+     * Returns whether the event that a request which must not run twice is written may still be queued. An urgent event
+     * can't tell; the one that keeps the order is handled after it.
+     */
+    private static boolean mayBeWrittenUnnoticed(ActiveRequest request) {
+        return !request.idempotent() && request.attempt().exists(a -> !a.written());
+    }
+
     private static void cancel(RequestReduction reduction, ActiveRequest request) {
         if (request.stage() != RequestStage.CANCELLING) {
             int attempt = request.attempt().get().number();
--- a/core/src/main/java/org/fuchsiadeck/core/request/EndReason.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/EndReason.java
@@ -23,6 +23,9 @@
         if (failure.kind() == Failure.Kind.NO_ROOM) {
             return new EndReason("node_full", false, text(failure));
         }
+        if (failure.kind() == Failure.Kind.NODE_BEHIND) {
+            return new EndReason("node_behind", false, text(failure));
+        }
         String reason = "backend_" + failure.kind().name().toLowerCase(Locale.ROOT);
         return new EndReason(reason, failure.kind() == Failure.Kind.TIMEOUT, text(failure));
     }
--- a/core/src/main/java/org/fuchsiadeck/core/request/Failure.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Failure.java
@@ -58,6 +58,8 @@
         /** The backend server answered with an error. */
         SERVER_ERROR,
         /** This node had no buffer space for the answer; not a fault of the server. */
-        NO_ROOM
+        NO_ROOM,
+        /** The node was too short of processor time to find out whether the caller was still there; nothing was sent. */
+        NODE_BEHIND
     }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/request/RequestEvent.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/RequestEvent.java
@@ -1,6 +1,7 @@
 package org.fuchsiadeck.core.request;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.fuchsiadeck.core.Event;
 import org.fuchsiadeck.core.model.BackendReport;
@@ -25,20 +26,45 @@
      *
      * @param id the request
      * @param call the properties of the request
+     * @param receivedMs the monotonic time at which the node could have read the request if it had not been short of
+     *     processor time, in milliseconds; empty if it is the time of the event
      */
-    record Arrived(RequestId id, CallerRequest call) implements RequestEvent {
+    record Arrived(RequestId id, CallerRequest call, OptionalLong receivedMs) implements RequestEvent {
         public Arrived {
             requireNonNull(id, "id");
             requireNonNull(call, "call");
+            requireNonNull(receivedMs, "receivedMs");
+        }
+
+        /**
+         * Creates the event of a request that is reduced when it is received.
+         *
+         * @param id the request
+         * @param call the properties of the request
+         */
+        public Arrived(RequestId id, CallerRequest call) {
+            this(id, call, OptionalLong.empty());
         }
     }
 
     /**
-     * The caller closed its connection.
+     * The caller closed its connection. Posted twice: the urgent one ends a request that waits or is in progress before
+     * other queued events are handled, but precedes the request's arrival if that is still queued; the other one follows
+     * the arrival. The second one to be reduced has no effect.
      *
      * @param id the request
+     * @param isUrgent whether the event is handled before others that wait
      */
-    record CallerGone(RequestId id) implements RequestEvent {}
+    record CallerGone(RequestId id, boolean isUrgent) implements RequestEvent {
+        /**
+         * Creates an event that is handled in the order of posting.
+         *
+         * @param id the request
+         */
+        public CallerGone(RequestId id) {
+            this(id, false);
+        }
+    }
 
     /**
      * The first byte of the request is about to be written to a backend server.
--- a/core/src/main/java/org/fuchsiadeck/core/request/RequestReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/RequestReducer.java
@@ -102,8 +102,8 @@
             AttemptEventHandler.onAttemptFailed(reduction, request, failed);
         } else if (event instanceof RequestEvent.TimerFired fired) {
             RequestTimers.onTimerFired(reduction, request, fired);
-        } else if (event instanceof RequestEvent.CallerGone) {
-            CallerDisconnects.onCallerGone(reduction, request);
+        } else if (event instanceof RequestEvent.CallerGone gone) {
+            CallerDisconnects.onCallerGone(reduction, request, gone);
         } else if (event instanceof RequestEvent.ClaimGranted) {
             Admission.onClaimGranted(reduction, request);
         } else if (event instanceof RequestEvent.ClaimDenied denied) {
--- a/core/src/test/java/org/fuchsiadeck/core/request/DataPathModel.java
+++ b/core/src/test/java/org/fuchsiadeck/core/request/DataPathModel.java
@@ -53,6 +53,7 @@
         private int claimsWanted;
         private int claimsSettled;
         private boolean isClaimDenied;
+        private boolean isConnectionClosed;
         private boolean isCallerGone;
         private int completedAttempt;
 
@@ -76,9 +77,9 @@
         RequestId id = ids.get(random.nextInt(ids.size()));
         SimulatedRequest request = requests.get(id);
         int action = random.nextInt(40);
-        if (action == 0 && !request.isCallerGone) {
-            request.isCallerGone = true;
-            apply(node.reduce(new RequestEvent.CallerGone(id)));
+        if (action == 0 && !request.isConnectionClosed) {
+            request.isConnectionClosed = true;
+            closeConnection(id, request);
         } else if (action == 1 && !deliveredEvents.isEmpty()) {
             apply(node.reduce(deliveredEvents.get(random.nextInt(deliveredEvents.size()))));
         } else if (action < 20) {
@@ -88,6 +89,17 @@
         }
     }
 
+    /** Reports a close by an event that precedes the pending ones. An urgent one is followed by another in their order. */
+    private void closeConnection(RequestId id, SimulatedRequest request) {
+        boolean urgent = random.nextBoolean();
+        if (urgent) {
+            request.pendingEvents.add(new RequestEvent.CallerGone(id));
+        }
+        List<Effect> effects = node.reduce(new RequestEvent.CallerGone(id, urgent));
+        request.isCallerGone = !urgent || node.state.open().get(id).forAll(ActiveRequest::callerGone);
+        apply(effects);
+    }
+
     /** Delivers all pending events and advances the time until every deadline has passed. */
     void deliverAll() {
         for (int i = 0; i < 50; i++) {
@@ -209,6 +221,7 @@
             return;
         }
         RequestEvent event = request.pendingEvents.remove();
+        request.isCallerGone = request.isCallerGone || event instanceof RequestEvent.CallerGone;
         if (event instanceof RequestEvent.ClaimDenied && request.claimsSettled == 0) {
             request.isClaimDenied = true;
         }
--- a/core/src/test/java/org/fuchsiadeck/core/request/RequestReducerTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/request/RequestReducerTest.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 import org.fuchsiadeck.core.Effect;
 import org.fuchsiadeck.core.LifecycleEvent;
@@ -281,6 +282,59 @@
                 .isEqualTo(Settlement.ANSWERED);
     }
 
+    /** The urgent event precedes queued ones: a request that was written must not be cut off or settled as not run. */
+    @Test
+    void keepsAWrittenNonIdempotentRequestWhoseWritingIsQueuedBehindTheCallersClose() {
+        node.listBackends(apps(1));
+        node.arrive("r", MEAL, "t", Optional.of("k"));
+        node.reduce(new RequestEvent.ClaimGranted(new RequestId("r")));
+        assertThat(node.reduce(new RequestEvent.CallerGone(new RequestId("r"), true)))
+                .isEmpty();
+        node.startWriting("r", 1);
+        assertThat(effectsOfType(node.reduce(new RequestEvent.CallerGone(new RequestId("r"))), RequestEffect.class))
+                .isEmpty();
+        assertThat(raisedEvents(node.completeAnswer("r", 1), ClaimEvent.Settled.class)
+                        .get(0)
+                        .settlement())
+                .isEqualTo(Settlement.ANSWERED);
+    }
+
+    @Test
+    void endsAnIdempotentRequestByTheUrgentEventAndIgnoresTheSecondOne() {
+        node.listBackends(apps(1));
+        node.arrive("r", Harness.STATUS);
+        RequestId id = new RequestId("r");
+        assertThat(effectsOfType(node.reduce(new RequestEvent.CallerGone(id, true)), RequestEffect.class))
+                .containsExactly(new RequestEffect.Cancel(id, 1), new RequestEffect.Release(id));
+        assertThat(node.reduce(new RequestEvent.CallerGone(id))).isEmpty();
+        assertThat(node.state.counters().callersGone()).isEqualTo(1);
+    }
+
+    /** A node that read a request late gave its caller's time to servers although the caller had used it up. */
+    @Test
+    void countsTheDeadlineFromTheTimeAtWhichARequestCouldHaveBeenRead() {
+        node.listBackends(apps(1));
+        CallerRequest call =
+                new CallerRequest("GET", "/status", new TeamId("t"), Optional.empty(), 0, false, Optional.empty());
+        node.nowMs = 50_000;
+        long lateMs = Harness.STATUS.deadlineMs() / 2;
+        assertThat(remainingMs(call, "late", node.nowMs - lateMs)).isEqualTo(Harness.STATUS.deadlineMs() - lateMs);
+        assertThat(remainingMs(call, "usual", node.nowMs - 100)).isEqualTo(Harness.STATUS.deadlineMs());
+        RequestId expired = new RequestId("expired");
+        List<Effect> effects = node.reduce(
+                new RequestEvent.Arrived(expired, call, OptionalLong.of(node.nowMs - Harness.STATUS.deadlineMs())));
+        assertThat(effectsOfType(effects, RequestEffect.Dispatch.class)).isEmpty();
+        assertThat(effectsOfType(effects, RequestEffect.Respond.class))
+                .hasSize(1)
+                .allMatch(r -> r.outcome() == Outcome.NOT_RUN && r.reason().equals("deadline"));
+    }
+
+    private long remainingMs(CallerRequest call, String id, long receivedMs) {
+        List<Effect> effects =
+                node.reduce(new RequestEvent.Arrived(new RequestId(id), call, OptionalLong.of(receivedMs)));
+        return effectsOfType(effects, RequestEffect.Dispatch.class).get(0).remainingMs();
+    }
+
     @Test
     void ignoresTheDeadlineOfAnEarlierRequestWithTheSameId() {
         node.listBackends(apps(1));
--- a/node/src/main/java/org/fuchsiadeck/node/Node.java
+++ b/node/src/main/java/org/fuchsiadeck/node/Node.java
@@ -51,6 +51,7 @@
 import org.fuchsiadeck.node.run.EffectHandler;
 import org.fuchsiadeck.node.run.EventLoop;
 import org.fuchsiadeck.node.run.EventLoopWatchdog;
+import org.fuchsiadeck.node.run.SelectorDelays;
 import org.fuchsiadeck.node.settings.LoadedSettings;
 import org.fuchsiadeck.node.settings.Settings;
 import org.fuchsiadeck.node.settings.SettingsError;
@@ -75,6 +76,7 @@
     private final Drain drain;
     private final Housekeeping chores = new Housekeeping();
     private final EventLoopWatchdog watch;
+    private final SelectorDelays delays = new SelectorDelays();
     private final AtomicBoolean started = new AtomicBoolean();
     private BackendClient backends;
     private CallerServer callers;
@@ -115,12 +117,13 @@
 
     private void open() throws StartException {
         closer.add(loop);
+        closer.add(delays);
         HttpClient client = closer.add(step("callers.address", HttpClient::start));
         backends = new BackendClient(
                 client,
                 parts.backends(),
                 loop,
-                new BackendClient.CurrentState(this::configuration, this::hasDeparted),
+                new BackendClient.CurrentState(this::configuration, this::hasDeparted, this::isBehind),
                 log,
                 metrics,
                 settings.limits().maxAnswerBytes());
@@ -191,7 +194,8 @@
                 loop,
                 configurationSource(),
                 log,
-                metrics);
+                metrics,
+                delays);
     }
 
     private ConfigurationSource configurationSource() {
@@ -346,6 +350,10 @@
         return all;
     }
 
+    private boolean isBehind() {
+        return loop.isBehind() || delays.isBehind();
+    }
+
     private boolean hasDeparted(BackendId id) {
         Fleet fleet = loop.state().requests().fleet();
         return fleet.departure(id).isPresent() || !fleet.servers().get(id).exists(BackendStatus::listed);
--- a/node/src/main/java/org/fuchsiadeck/node/backend/Attempt.java
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/Attempt.java
@@ -39,6 +39,7 @@
     private Step step = Step.CONNECTING;
     private boolean ended;
     private boolean completed;
+    private volatile boolean checkingCaller;
     private int resumeIndex;
     private HttpConnection connection;
     private AnswerBodyReader bodyReader;
@@ -70,9 +71,29 @@
      */
     record OutgoingRequest(HttpPacket request, int resumeIndex) {}
 
+    /** Notes whether the attempt waits to know that the caller is still there. The server is not at fault meanwhile. */
+    void checkingCaller(boolean pending) {
+        checkingCaller = pending;
+    }
+
+    /**
+     * Returns whether the attempt may go on, before any of its bytes is written. If the caller has left, the attempt waits
+     * to be cancelled by the reducer, which is told of it.
+     */
+    boolean mayStart() {
+        if (isEnded()) {
+            return false;
+        }
+        if (exchange.isCallerGone()) {
+            resources.reportNotSent(dispatch);
+            return false;
+        }
+        return true;
+    }
+
     @Override
     public void onConnected(HttpConnection newConnection) {
-        if (isEnded()) {
+        if (!mayStart()) {
             resources.returnUnused(newConnection);
             return;
         }
@@ -259,6 +280,14 @@
 
     @Override
     public void fail(Kind kind, String detail) {
+        if (checkingCaller) {
+            end(Kind.NODE_BEHIND, detail + " before the caller's connection was polled");
+        } else {
+            end(kind, detail);
+        }
+    }
+
+    private void end(Kind kind, String detail) {
         Step lastStep;
         HttpConnection currentConnection;
         synchronized (this) {
--- a/node/src/main/java/org/fuchsiadeck/node/backend/AttemptResources.java
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/AttemptResources.java
@@ -1,5 +1,6 @@
 package org.fuchsiadeck.node.backend;
 
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Predicate;
@@ -13,6 +14,7 @@
 import org.fuchsiadeck.core.model.BackendId;
 import org.fuchsiadeck.core.request.Failure;
 import org.fuchsiadeck.core.request.RequestEffect;
+import org.fuchsiadeck.core.request.RequestEvent;
 import org.fuchsiadeck.node.client.HttpConnection;
 import org.fuchsiadeck.node.run.EffectHandler;
 import org.fuchsiadeck.node.run.EventSink;
@@ -115,6 +117,17 @@
         log.handle(new Effect.Log(EventCode.STALE_ANSWER, peer + " " + detail));
     }
 
+    /** Counts and logs a request that is not sent because its caller has left, and reports the caller as gone. */
+    void reportNotSent(RequestEffect.Dispatch dispatch) {
+        metrics.counter("backend.not_sent").inc();
+        Map<String, Object> fields = new LinkedHashMap<>();
+        fields.put("request", dispatch.id());
+        fields.put("server", dispatch.backend().id());
+        fields.put("attempt", dispatch.attempt());
+        log.handle(new Effect.Log(EventCode.REQUEST_NOT_SENT, "", fields));
+        events.post(new RequestEvent.CallerGone(dispatch.id(), true));
+    }
+
     /** Logs a load report that could not be parsed. */
     void logInvalidReport(RequestEffect.Dispatch dispatch, String text) {
         log.handle(new Effect.Log(
--- a/node/src/main/java/org/fuchsiadeck/node/backend/BackendClient.java
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/BackendClient.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
@@ -38,17 +39,22 @@
     private final ConnectionAgeLimits ageLimits;
     private final Counter attempts;
     private final Counter reused;
+    private final Counter callerChecks;
+    private final BooleanSupplier behind;
 
     /**
      * The parts of the node's current state that attempts read when they start to write.
      *
      * @param configuration supplies the configuration in force
      * @param departed returns whether a server has left
+     * @param behind returns whether the node is short of processor time, so that a caller may have left unnoticed
      */
-    public record CurrentState(Supplier<Configuration> configuration, Predicate<BackendId> departed) {
+    public record CurrentState(
+            Supplier<Configuration> configuration, Predicate<BackendId> departed, BooleanSupplier behind) {
         public CurrentState {
             requireNonNull(configuration, "configuration");
             requireNonNull(departed, "departed");
+            requireNonNull(behind, "behind");
         }
     }
 
@@ -74,9 +80,11 @@
         this.client = client;
         this.configuration = current.configuration();
         this.resources = new AttemptResources(protocol, events, log, metrics, maxAnswerBytes, current.departed());
+        this.behind = current.behind();
         this.ageLimits = new ConnectionAgeLimits(current.configuration(), System::currentTimeMillis);
         this.attempts = metrics.counter("backend.attempts");
         this.reused = metrics.counter("backend.connections_reused");
+        this.callerChecks = metrics.counter("backend.caller_checks");
     }
 
     /**
@@ -100,7 +108,7 @@
                 client,
                 new StandardBackendProtocol(),
                 events,
-                new CurrentState(configuration, id -> false),
+                new CurrentState(configuration, id -> false, () -> false),
                 log,
                 metrics,
                 maxAnswerBytes);
@@ -108,7 +116,8 @@
 
     /**
      * Starts an attempt that replaces all earlier attempts of the request. If a KV cache is to be imported, the earlier
-     * attempt continues until the engine has answered the export call.
+     * attempt continues until the engine has answered the export call. If the node is behind, the caller's connection is
+     * polled first, since a close may have reached the node that it has not read yet.
      *
      * @param exchange the caller's request
      * @param dispatch the attempt
@@ -121,6 +130,24 @@
             return;
         }
         attempts.inc();
+        if (behind.getAsBoolean() && !exchange.isCallerGone()) {
+            callerChecks.inc();
+            attempt.checkingCaller(true);
+            exchange.afterNextPoll(() -> begin(exchange, dispatch, attempt, cache));
+            return;
+        }
+        begin(exchange, dispatch, attempt, cache);
+    }
+
+    private void begin(
+            Exchange exchange,
+            RequestEffect.Dispatch dispatch,
+            Attempt attempt,
+            AtomicReference<Optional<CacheHandle>> cache) {
+        attempt.checkingCaller(false);
+        if (!attempt.mayStart()) {
+            return;
+        }
         Consumer<Optional<CacheHandle>> startWithCache = handle -> {
             cache.set(handle);
             exchange.endEarlier(dispatch.attempt());
--- a/node/src/main/java/org/fuchsiadeck/node/exchange/CallerChannel.java
+++ b/node/src/main/java/org/fuchsiadeck/node/exchange/CallerChannel.java
@@ -42,6 +42,21 @@
      */
     void refuse(Refusal refusal);
 
+    /**
+     * Tells whether the connection is known to be closed.
+     *
+     * @return whether the caller has left
+     */
+    boolean isGone();
+
+    /**
+     * Runs an action after the connection has been polled once more, so that a close is known that reached the node
+     * before this call.
+     *
+     * @param action what to run; must not wait
+     */
+    void afterNextPoll(Runnable action);
+
     /** Closes the connection without a final answer, so that the caller sees that the answer is not whole. */
     void abort();
 
--- a/node/src/main/java/org/fuchsiadeck/node/exchange/Exchange.java
+++ b/node/src/main/java/org/fuchsiadeck/node/exchange/Exchange.java
@@ -245,6 +245,24 @@
         caller.refuse(refusal);
     }
 
+    /**
+     * Tells whether the caller's connection is known to be closed.
+     *
+     * @return whether the caller has left
+     */
+    public boolean isCallerGone() {
+        return caller.isGone();
+    }
+
+    /**
+     * Runs an action after the caller's connection has been polled once more.
+     *
+     * @param action what to run; must not wait
+     */
+    public void afterNextPoll(Runnable action) {
+        caller.afterNextPoll(action);
+    }
+
     /**
      * Forgets an attempt, so that nothing it sends reaches the caller. Reports first what it passed on: a retry is
      * judged by it.
--- a/node/src/main/java/org/fuchsiadeck/node/front/CallerConnection.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerConnection.java
@@ -7,6 +7,7 @@
 
 import org.fuchsiadeck.node.exchange.Refusal;
 import org.fuchsiadeck.node.http.RequestGate;
+import org.fuchsiadeck.node.run.SelectorDelays;
 import org.fuchsiadeck.node.run.SelectorTasks;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.Grizzly;
@@ -44,6 +45,8 @@
     private long sinceNanos = System.nanoTime();
     private long receivedBytes;
     private boolean closed;
+    private long answeredNanos;
+    private boolean answeredBefore;
     private int pendingBytes;
     private long pendingNanos;
     private CallerResponse response;
@@ -171,6 +174,8 @@
             onUnfinished = null;
             phase = Phase.IDLE;
             sinceNanos = System.nanoTime();
+            answeredNanos = sinceNanos;
+            answeredBefore = true;
             if (RequestGate.holdsBytes(connection)) {
                 startReading();
             }
@@ -199,6 +204,17 @@
         }
     }
 
+    /**
+     * Returns for how long the request that is read now may have waited for its selector thread, in milliseconds. A
+     * caller does not wait for an answer before it has had the one to its previous request.
+     */
+    synchronized long readDelayMs(SelectorDelays delays) {
+        long delayMs = delays.readDelayMs(connection);
+        return answeredBefore
+                ? Math.min(delayMs, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - answeredNanos))
+                : delayMs;
+    }
+
     /** Tells whether a request on the connection has not had the last byte of its answer. */
     synchronized boolean isUnfinished() {
         return response != null;
--- a/node/src/main/java/org/fuchsiadeck/node/front/CallerHandler.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerHandler.java
@@ -1,5 +1,6 @@
 package org.fuchsiadeck.node.front;
 
+import java.util.OptionalLong;
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
 
@@ -18,6 +19,7 @@
 import org.fuchsiadeck.node.exchange.Room;
 import org.fuchsiadeck.node.http.RequestGate;
 import org.fuchsiadeck.node.run.EventSink;
+import org.fuchsiadeck.node.run.SelectorDelays;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.Request;
@@ -46,6 +48,7 @@
     private final BooleanSupplier draining;
     private final long maxBodyBytes;
     private final Room room;
+    private final SelectorDelays delays;
 
     CallerHandler(
             Front front,
@@ -68,6 +71,7 @@
         this.draining = draining;
         this.maxBodyBytes = front.limits().maxBodyBytes();
         this.room = new Room(front.budget(), front.limits().maxBufferedBytes() / 2, Integer.MAX_VALUE);
+        this.delays = front.delays();
         setDecodeUrl(false);
     }
 
@@ -187,12 +191,19 @@
             exchange.release();
             return;
         }
-        if (!events.offer(new RequestEvent.Arrived(id, request))) {
+        long receivedMs = configuration.nowMs() - call.connection().readDelayMs(delays);
+        if (!events.offer(new RequestEvent.Arrived(id, request, OptionalLong.of(receivedMs)))) {
             refuse(call.answer(), busy("overloaded", "The node has too much to do."), false);
             exchanges.release(id);
             return;
         }
-        call.connection().watch(() -> events.post(new RequestEvent.CallerGone(id)));
+        call.connection().watch(() -> postGone(id));
+    }
+
+    /** The event that keeps the order is posted first, so that it precedes the arrival of a later request with the id. */
+    private void postGone(RequestId id) {
+        events.post(new RequestEvent.CallerGone(id, false));
+        events.post(new RequestEvent.CallerGone(id, true));
     }
 
     private void refuse(CallerResponse answer, Refusal refusal, boolean close) {
--- a/node/src/main/java/org/fuchsiadeck/node/front/CallerResponse.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerResponse.java
@@ -13,6 +13,7 @@
 import org.fuchsiadeck.node.exchange.Header;
 import org.fuchsiadeck.node.exchange.Refusal;
 import org.fuchsiadeck.node.exchange.WholeAnswer;
+import org.fuchsiadeck.node.run.SelectorTasks;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.WriteHandler;
 import org.glassfish.grizzly.http.io.NIOOutputStream;
@@ -43,6 +44,7 @@
     private boolean headWritten;
     private boolean ending;
     private boolean finished;
+    private boolean gone;
     private boolean scheduled;
     private boolean wasFull;
     private long blockedNanos;
@@ -162,6 +164,16 @@
         connection.terminateSilently();
     }
 
+    @Override
+    public synchronized boolean isGone() {
+        return gone || !connection.isOpen();
+    }
+
+    @Override
+    public void afterNextPoll(Runnable action) {
+        SelectorTasks.runAfterNextPoll(connection, action);
+    }
+
     @Override
     public synchronized boolean full() {
         return waiting.size() > fullBytes();
@@ -174,6 +186,7 @@
 
     /** Notes that the connection has closed. */
     synchronized void gone() {
+        gone = true;
         ending = true;
         finished = true;
         waiting = new ByteArrayOutputStream();
--- a/node/src/main/java/org/fuchsiadeck/node/front/CallerServer.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/CallerServer.java
@@ -46,7 +46,7 @@
         int threads = Math.min(MAX_THREADS, Runtime.getRuntime().availableProcessors());
         ExecutorService pump = Executors.newFixedThreadPool(threads, r -> new Thread(r, "caller-writer"));
         ConnectionGuard guard = new ConnectionGuard(
-                front.limits().maxConnections(), front.limits().slowSenderTimeoutMs(), front.budget());
+                front.limits().maxConnections(), front.limits().slowSenderTimeoutMs(), front.budget(), front.delays());
         RequestIds ids = new RequestIds(front.node());
         NetworkListener listener = listener(front, threads);
         RefusalLog refusals = new RefusalLog(front.log(), front.metrics());
--- a/node/src/main/java/org/fuchsiadeck/node/front/ConnectionGuard.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/ConnectionGuard.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 import org.fuchsiadeck.node.exchange.ByteBudget;
+import org.fuchsiadeck.node.run.SelectorDelays;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.BaseFilter;
@@ -30,12 +31,14 @@
     private final int maxConnections;
     private final long slowMs;
     private final ByteBudget budget;
+    private final SelectorDelays delays;
     private volatile boolean draining;
 
-    ConnectionGuard(int maxConnections, long slowMs, ByteBudget budget) {
+    ConnectionGuard(int maxConnections, long slowMs, ByteBudget budget, SelectorDelays delays) {
         this.maxConnections = maxConnections;
         this.slowMs = slowMs;
         this.budget = budget;
+        this.delays = delays;
     }
 
     @Override
@@ -49,6 +52,7 @@
         SocketChannel channel = (SocketChannel) ((NIOConnection) connection).getChannel();
         channel.setOption(StandardSocketOptions.SO_SNDBUF, SEND_BUFFER_BYTES);
         CallerConnection.of(connection);
+        delays.watch(connection);
         return ctx.getInvokeAction();
     }
 
--- a/node/src/main/java/org/fuchsiadeck/node/front/Front.java
+++ b/node/src/main/java/org/fuchsiadeck/node/front/Front.java
@@ -8,6 +8,7 @@
 import org.fuchsiadeck.node.exchange.Exchanges;
 import org.fuchsiadeck.node.run.EffectHandler;
 import org.fuchsiadeck.node.run.EventSink;
+import org.fuchsiadeck.node.run.SelectorDelays;
 import org.fuchsiadeck.node.settings.Limits;
 
 import static java.util.Objects.requireNonNull;
@@ -25,6 +26,7 @@
  * @param configuration gives the configuration in force
  * @param log writes numbered events
  * @param metrics where it reports its figures
+ * @param delays measures the selector threads
  */
 public record Front(
         NodeId node,
@@ -36,7 +38,8 @@
         EventSink events,
         ConfigurationSource configuration,
         EffectHandler<Effect.Log> log,
-        MetricRegistry metrics) {
+        MetricRegistry metrics,
+        SelectorDelays delays) {
     public Front {
         requireNonNull(node, "node");
         requireNonNull(address, "address");
@@ -48,5 +51,6 @@
         requireNonNull(configuration, "configuration");
         requireNonNull(log, "log");
         requireNonNull(metrics, "metrics");
+        requireNonNull(delays, "delays");
     }
 }
--- a/node/src/main/java/org/fuchsiadeck/node/run/EventLoop.java
+++ b/node/src/main/java/org/fuchsiadeck/node/run/EventLoop.java
@@ -45,6 +45,8 @@
     private volatile Event currentEvent;
     private volatile long startedEvents;
     private volatile long lastWaitMs;
+    private volatile long currentSinceMs = Long.MAX_VALUE;
+    private final RecentDelay recentDelay = new RecentDelay();
     private volatile boolean closed;
     private long scheduledCount;
 
@@ -89,6 +91,15 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - createdNanos);
     }
 
+    /**
+     * Returns whether events wait for the loop for more than {@link RecentDelay#BEHIND_MS}, now or a short time ago.
+     *
+     * @return whether the loop is behind
+     */
+    public boolean isBehind() {
+        return nowMs() - currentSinceMs > RecentDelay.BEHIND_MS || recentDelay.isBehind();
+    }
+
     /** Returns a snapshot of the loop's activity. */
     LoopStatus status() {
         Event event = currentEvent;
@@ -188,10 +199,13 @@
     private void reduce(Event event, long sinceMs) {
         lastWaitMs = nowMs() - sinceMs;
         waits.update(lastWaitMs);
+        recentDelay.record(lastWaitMs);
+        currentSinceMs = sinceMs;
         startedEvents++;
         currentEvent = event;
         applyEvent(event);
         currentEvent = null;
+        currentSinceMs = Long.MAX_VALUE;
     }
 
     private void applyEvent(Event event) {
--- a/node/src/main/java/org/fuchsiadeck/node/run/SelectorTasks.java
+++ b/node/src/main/java/org/fuchsiadeck/node/run/SelectorTasks.java
@@ -3,6 +3,7 @@
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.nio.NIOConnection;
 import org.glassfish.grizzly.nio.NIOTransport;
+import org.glassfish.grizzly.nio.SelectorRunner;
 
 /**
  * Schedules actions on the selector threads that read from connections.
@@ -19,7 +20,22 @@
     public static void runAfterReads(Connection<?> connection, Runnable action) {
         NIOConnection nio = (NIOConnection) connection;
         NIOTransport transport = (NIOTransport) nio.getTransport();
-        transport.getSelectorHandler().enque(nio.getSelectorRunner(), () -> runAction(action), null);
+        run(transport, nio.getSelectorRunner(), action);
+    }
+
+    static void run(NIOTransport transport, SelectorRunner runner, Runnable action) {
+        transport.getSelectorHandler().enque(runner, () -> runAction(action), null);
+    }
+
+    /**
+     * Runs an action on the selector thread of a connection after the selector has been polled once more. The first task
+     * runs before the next poll, the second one after what that poll showed has been read.
+     *
+     * @param connection the connection
+     * @param action the action, which must not block
+     */
+    public static void runAfterNextPoll(Connection<?> connection, Runnable action) {
+        runAfterReads(connection, () -> runAfterReads(connection, action));
     }
 
     private static boolean runAction(Runnable action) {
--- a/node/src/test/java/org/fuchsiadeck/node/backend/AttemptTest.java
+++ b/node/src/test/java/org/fuchsiadeck/node/backend/AttemptTest.java
@@ -75,7 +75,7 @@
                 client,
                 new StandardBackendProtocol(),
                 events::add,
-                new BackendClient.CurrentState(() -> TestNode.CONFIGURATION, id -> true),
+                new BackendClient.CurrentState(() -> TestNode.CONFIGURATION, id -> true, () -> false),
                 log -> {},
                 metrics,
                 MAX_ANSWER_BYTES);
--- a/node/src/test/java/org/fuchsiadeck/node/front/CallerResponseTest.java
+++ b/node/src/test/java/org/fuchsiadeck/node/front/CallerResponseTest.java
@@ -17,6 +17,7 @@
 import org.fuchsiadeck.core.request.RequestEffect.Outcome;
 import org.fuchsiadeck.node.exchange.ByteBudget;
 import org.fuchsiadeck.node.exchange.Refusal;
+import org.fuchsiadeck.node.run.SelectorDelays;
 import org.fuchsiadeck.node.testing.Await;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.filterchain.BaseFilter;
@@ -38,6 +39,7 @@
     private static final long SLOW_MS = 10_000;
 
     private final ByteBudget budget = new ByteBudget(MAX_BYTES);
+    private final SelectorDelays delays = new SelectorDelays();
     private TCPNIOTransport transport;
     private Socket caller;
     private Connection<?> connection;
@@ -48,7 +50,7 @@
         transport = TCPNIOTransportBuilder.newInstance().build();
         transport.setProcessor(FilterChainBuilder.stateless()
                 .add(new TransportFilter())
-                .add(new ConnectionGuard(1, SLOW_MS, budget))
+                .add(new ConnectionGuard(1, SLOW_MS, budget, delays))
                 .add(new BaseFilter() {
                     @Override
                     public NextAction handleAccept(FilterChainContext ctx) {
@@ -67,6 +69,7 @@
 
     @AfterEach
     void close() throws IOException {
+        delays.close();
         caller.close();
         transport.shutdownNow();
     }
--- a/node/src/test/java/org/fuchsiadeck/node/run/EventLoopTest.java
+++ b/node/src/test/java/org/fuchsiadeck/node/run/EventLoopTest.java
@@ -148,6 +148,64 @@
         }
     }
 
+    /** The close of a caller's connection waited behind 1,000 requests, and the request was sent in the meantime. */
+    @Test
+    void theCloseOfACallerIsNotDelayedByQueuedRequests() throws Exception {
+        CountDownLatch released = new CountDownLatch(1);
+        CountDownLatch held = new CountDownLatch(1);
+        EventReducer reducer = (state, now, wall, event) -> {
+            if (event.equals(new TestEvent("hold"))) {
+                held.countDown();
+                awaitQuietly(released);
+            }
+            processed.add(event instanceof RequestEvent.CallerGone gone ? gone.id() + " gone" : "other");
+            return Step.of(state);
+        };
+        try (EventLoop loop = startLoop(reducer, e -> {})) {
+            loop.post(new TestEvent("hold"));
+            held.await();
+            for (int i = 0; i < 1_000; i++) {
+                loop.offer(new RequestEvent.Writing(new RequestId("q" + i), 1));
+            }
+            loop.post(new RequestEvent.CallerGone(new RequestId("r"), true));
+            released.countDown();
+            Await.until("all events", () -> processed.size() == 1_002);
+            assertThat(processed.get(1)).isEqualTo("r gone");
+        }
+    }
+
+    /** A loop that is not behind must not delay requests; one that was must be known as such for some time. */
+    @Test
+    void isBehindAfterAnEventThatWaitedLong() throws Exception {
+        try (EventLoop loop = startLoop((state, now, wall, event) -> Step.of(state), e -> {})) {
+            loop.post(new TestEvent("prompt"));
+            Await.until(
+                    "an event",
+                    () -> loop.status().eventCount() == 1 && !loop.status().busy());
+            assertThat(loop.isBehind()).isEqualTo(loop.status().waitMs() > RecentDelay.BEHIND_MS);
+        }
+        CountDownLatch released = new CountDownLatch(1);
+        CountDownLatch held = new CountDownLatch(1);
+        EventReducer blocking = (state, now, wall, event) -> {
+            held.countDown();
+            awaitQuietly(released);
+            return Step.of(state);
+        };
+        try (EventLoop loop = startLoop(blocking, e -> {})) {
+            loop.post(new TestEvent("hold"));
+            held.await();
+            Await.until("the event in progress is slow", loop::isBehind);
+            loop.post(new TestEvent("late"));
+            Thread.sleep(2 * RecentDelay.BEHIND_MS);
+            released.countDown();
+            Await.until(
+                    "both events",
+                    () -> loop.status().eventCount() == 2 && !loop.status().busy());
+            assertThat(loop.isBehind()).isTrue();
+            Await.until("the loop has caught up", () -> !loop.isBehind());
+        }
+    }
+
     private EventLoop startLoop(EventReducer reducer, EffectHandler<Effect> effects) {
         EventLoop loop = new EventLoop(initial, reducer, effects, new MetricRegistry());
         loop.start();
--- a/node/src/test/java/org/fuchsiadeck/node/testing/RecordingChannel.java
+++ b/node/src/test/java/org/fuchsiadeck/node/testing/RecordingChannel.java
@@ -3,6 +3,8 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 
 import org.fuchsiadeck.node.exchange.CallerChannel;
 import org.fuchsiadeck.node.exchange.Header;
@@ -15,6 +17,9 @@
     private Runnable drained = () -> {};
     public volatile boolean full;
     public volatile boolean aborted;
+    public volatile boolean gone;
+    private volatile int checksUntilGone = Integer.MAX_VALUE;
+    public final Queue<Runnable> polls = new ConcurrentLinkedQueue<>();
     public volatile WholeAnswer answer;
 
     @Override
@@ -43,6 +48,18 @@
         aborted = true;
     }
 
+    @Override
+    public synchronized boolean isGone() {
+        gone = gone || checksUntilGone == 0;
+        checksUntilGone--;
+        return gone;
+    }
+
+    @Override
+    public void afterNextPoll(Runnable action) {
+        polls.add(action);
+    }
+
     @Override
     public boolean full() {
         return full;
@@ -53,6 +70,11 @@
         drained = action;
     }
 
+    /** Makes the caller leave after a number of checks that find it present. */
+    public synchronized void goneAfterChecks(int checks) {
+        checksUntilGone = checks;
+    }
+
     public void drain() {
         full = false;
         drained.run();
--- a/node/src/test/java/org/fuchsiadeck/node/testing/TestNode.java
+++ b/node/src/test/java/org/fuchsiadeck/node/testing/TestNode.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vavr.control.Either;
@@ -36,6 +37,8 @@
 import org.fuchsiadeck.core.share.ShareRules;
 import org.fuchsiadeck.node.Node;
 import org.fuchsiadeck.node.Parts;
+import org.fuchsiadeck.node.front.CallerProtocol;
+import org.fuchsiadeck.node.front.StandardCallerProtocol;
 import org.fuchsiadeck.node.log.LogLevel;
 import org.fuchsiadeck.node.settings.Limits;
 import org.fuchsiadeck.node.settings.LoadedSettings;
@@ -61,27 +64,41 @@
     public final Node node;
     public final List<Event> events = new CopyOnWriteArrayList<>();
     private final FakeServer list;
+    public volatile RequestState requests = RequestState.initial();
+    private volatile Consumer<Event> beforeReduction = e -> {};
 
     public TestNode(FakeServer... servers) throws Exception {
         this(LIMITS, servers);
     }
 
     public TestNode(Limits limits, FakeServer... servers) throws Exception {
+        this(limits, new StandardCallerProtocol(), servers);
+    }
+
+    public TestNode(Limits limits, CallerProtocol callers, FakeServer... servers) throws Exception {
         this(
                 limits,
+                callers,
                 Arrays.stream(servers)
                         .flatMap(s -> Arrays.stream(Backend.Kind.values()).map(s::as))
                         .map(TestNode::json)
                         .toList());
     }
 
-    private TestNode(Limits limits, List<String> backends) throws Exception {
+    private TestNode(Limits limits, CallerProtocol callers, List<String> backends) throws Exception {
         String body = "{\"backends\":[" + String.join(",", backends) + "],\"nodes\":[],\"notices\":[]}";
         this.list = new FakeServer((m, s) -> FakeServer.plain(m, s, 200, body));
         this.settings = settings(list.address(), limits);
         Parts standard = Parts.standard();
-        Parts parts =
-                new Parts(this::reduce, s -> CONFIGURATION, s -> List.of(), standard.platform(), standard.peers());
+        Parts parts = new Parts(
+                this::reduce,
+                s -> CONFIGURATION,
+                s -> List.of(),
+                standard.platform(),
+                standard.peers(),
+                callers,
+                standard.backends(),
+                false);
         Either<SettingsError, Node> started =
                 Node.start(new LoadedSettings(settings, Path.of("node.toml"), Toml.parse("")), parts);
         this.node = started.getOrElseThrow(e -> new IOException(e.toString()));
@@ -90,13 +107,27 @@
                 () -> events.stream().anyMatch(e -> e instanceof org.fuchsiadeck.core.platform.PlatformEvent.Listed));
     }
 
+    /** Runs an action on the thread of the event loop before each event. */
+    public void beforeReduction(Consumer<Event> action) {
+        beforeReduction = action;
+    }
+
     /** Returns a gauge as operators see it. */
     public long gauge(String name) throws IOException {
+        return figure("gauges", name);
+    }
+
+    /** Returns a counter as operators see it. */
+    public long counter(String name) throws IOException {
+        return figure("counters", name);
+    }
+
+    private long figure(String kind, String name) throws IOException {
         try (Caller operator = new Caller(settings.operators())) {
             String text = operator.get("/metrics", "Authorization: Bearer secret-word")
                     .answer()
                     .text();
-            return new ObjectMapper().readTree(text).path("gauges").path(name).asLong(-1);
+            return new ObjectMapper().readTree(text).path(kind).path(name).asLong(-1);
         }
     }
 
@@ -109,6 +140,7 @@
     }
 
     private Step<NodeState> reduce(NodeState state, long nowMs, long wallMs, Event event) {
+        beforeReduction.accept(event);
         events.add(event);
         Queue<Event> raised = new ArrayDeque<>(List.of(event));
         List<Effect> effects = new ArrayList<>();
@@ -126,6 +158,7 @@
                 }
             }
         }
+        this.requests = requests;
         NodeState next = new NodeState(
                 state.self(), state.config(), state.members(), state.rollouts(), state.claims(), requests);
         return new Step<>(next, effects);
