Select the servers of a sum once for all messages of an aggregator

Cause: an aggregator collected the ids of all servers from all its reports again for each message, by calculation 3 million insertions a tick with 370 nodes and 4,100 servers.

Change: the ids are collected once for each tick; each message adds up only the present part.

Result: ServerTimesSharingTest, ShareStateTest, QuotaUnderPressureTest and LargeFleetUseTest pass; the processor time of an aggregator was not measured.

--- a/core/src/main/java/org/fuchsiadeck/core/share/ServerTimesParts.java
+++ b/core/src/main/java/org/fuchsiadeck/core/share/ServerTimesParts.java
@@ -33,15 +33,25 @@
         return part;
     }
 
-    /** Returns a part of the sums of this node and of other nodes. */
-    static Map<BackendId, ServerTimes> total(ShareState state, View view, PeerUsage others) {
+    /** Returns the servers that are in the present part of the sums of this node and all others. */
+    static Collection<BackendId> servers(ShareState state, View view) {
+        Set<BackendId> ids = new HashSet<>(view.work().serverTimes(view.nowMs()).keySet());
+        state.hearing().forEach(r -> r.times().keySet().forEach(ids::add));
+        return part(ids, view.nowMs());
+    }
+
+    /** Returns the sums of this node and of other nodes for some servers. */
+    static Map<BackendId, ServerTimes> total(View view, PeerUsage others, Collection<BackendId> servers) {
+        if (servers.isEmpty()) {
+            return Map.of();
+        }
         Map<BackendId, ServerTimes> local = view.work().serverTimes(view.nowMs());
-        Set<BackendId> ids = new HashSet<>(local.keySet());
-        others.forEach(r -> r.times().keySet().forEach(ids::add));
-        ShareState combined = state.with(others);
         Map<BackendId, ServerTimes> part = new HashMap<>();
-        for (BackendId id : part(ids, view.nowMs())) {
-            part.put(id, local.getOrDefault(id, ServerTimes.NONE).plus(combined.serverTimesElsewhere(id)));
+        for (BackendId id : servers) {
+            ServerTimes sum = local.getOrDefault(id, ServerTimes.NONE).plus(others.serverTimes(id));
+            if (sum.expectedMs() > 0) {
+                part.put(id, sum);
+            }
         }
         return part;
     }
--- a/core/src/main/java/org/fuchsiadeck/core/share/ShareReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/share/ShareReducer.java
@@ -1,6 +1,7 @@
 package org.fuchsiadeck.core.share;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Set;
 import java.util.function.UnaryOperator;
@@ -14,6 +15,7 @@
 import org.fuchsiadeck.core.Step;
 import org.fuchsiadeck.core.View;
 import org.fuchsiadeck.core.membership.MembershipEvent;
+import org.fuchsiadeck.core.model.BackendId;
 import org.fuchsiadeck.core.model.NodeId;
 import org.fuchsiadeck.core.model.Peers;
 import org.fuchsiadeck.core.platform.PlatformEvent;
@@ -164,19 +166,20 @@
         PeerUsage peerUsage = state.hearing();
         AggregationPlan plan = peerUsage.plan();
         PeerUsage groupUsage = peerUsage.groupOnly();
+        Collection<BackendId> timed = ServerTimesParts.servers(state, view);
         ShareSum sum = new ShareSum(
                 plane,
                 plan.groups(),
                 plan.group(),
                 state.with(groupUsage).reportingNodes(now),
-                content.apply(ShareReports.total(state, view, groupUsage)));
+                content.apply(ShareReports.total(state, view, groupUsage, timed)));
         List<Effect> out = new ArrayList<>();
         plan.otherAggregators(plane).forEach(peer -> out.add(new Effect.Send(peer, sum)));
         PeerUsage direct = peerUsage.withoutRestSums();
         for (NodeId member : plan.members()) {
             PeerUsage rest = direct.without(member);
             int nodes = state.with(rest).reportingNodes(now);
-            ShareReport total = content.apply(ShareReports.total(state, view, rest));
+            ShareReport total = content.apply(ShareReports.total(state, view, rest, timed));
             out.add(new Effect.Send(member, new ShareSum(plane, plan.groups(), ShareSum.REST, nodes, total)));
         }
         return out;
--- a/core/src/main/java/org/fuchsiadeck/core/share/ShareReports.java
+++ b/core/src/main/java/org/fuchsiadeck/core/share/ShareReports.java
@@ -1,5 +1,6 @@
 package org.fuchsiadeck.core.share;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -20,9 +21,10 @@
      * @param state the state of this node
      * @param view the view of this node
      * @param others the usage of the other nodes to include
+     * @param timed the servers whose sums of times are included
      * @return the total, as a report of a single run that started with the oldest of the runs
      */
-    static ShareReport total(ShareState state, View view, PeerUsage others) {
+    static ShareReport total(ShareState state, View view, PeerUsage others, Collection<BackendId> timed) {
         long nowMs = view.nowMs();
         ShareState combined = state.with(others);
         ShareReport local = local(state, view);
@@ -79,7 +81,7 @@
                 unread,
                 true,
                 newest,
-                ServerTimesParts.total(state, view, others));
+                ServerTimesParts.total(view, others, timed));
     }
 
     /**
