--- a/core/src/test/java/org/fuchsiadeck/core/request/ServerSpeedsTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/request/ServerSpeedsTest.java
@@ -10,6 +10,7 @@
 import org.fuchsiadeck.core.model.BackendId;
 import org.fuchsiadeck.core.model.BackendReport;
 import org.fuchsiadeck.core.model.RequestId;
+import org.fuchsiadeck.core.model.TeamId;
 import org.fuchsiadeck.core.routing.Router;
 import org.fuchsiadeck.core.speed.SpeedState;
 import org.junit.jupiter.api.Test;
@@ -17,6 +18,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.withinPercentage;
 import static org.fuchsiadeck.core.request.Harness.DRAFT;
 import static org.fuchsiadeck.core.request.Harness.STATUS;
 import static org.fuchsiadeck.core.request.Harness.apps;
@@ -127,6 +129,46 @@
         assertThat(node.state.speeds().learnedSpeed(SLOW)).isEqualTo(before.learnedSpeed(SLOW));
     }
 
+    /** The number of servers that are ordered follows from the server time of requests. */
+    @Test
+    void theServerTimeOfRequestsFollowsTheFittedRate() {
+        Harness node = harness(Router.affinity());
+        node.listBackends(engine("e1", "v1"));
+        double tokensPerMs = 40;
+        double beforeMs = 0;
+        int tokens = 0;
+        for (int i = 0; i < 101; i++) {
+            tokens = 1_000 + 997 * i % 5_000;
+            beforeMs = node.state
+                    .loads()
+                    .get("assistant")
+                    .map(l -> l.time().meanMs())
+                    .getOrElse(0.0);
+            CallerRequest.Completion completion =
+                    new CallerRequest.Completion("m", Optional.empty(), List.of((long) i), tokens, 1);
+            String id = "p" + i;
+            node.reduce(new RequestEvent.Arrived(
+                    new RequestId(id),
+                    new CallerRequest(
+                            DRAFT.method(),
+                            DRAFT.path(),
+                            new TeamId("t"),
+                            Optional.empty(),
+                            10,
+                            true,
+                            Optional.of(completion))));
+            node.startWriting(id, 1);
+            node.advance(Math.round(10 + tokens / tokensPerMs));
+            node.reduce(new RequestEvent.AnswerStarted(new RequestId(id), 1, report(OptionalDouble.of(1))));
+            node.reduce(new RequestEvent.AnswerCompleted(new RequestId(id), 1, 200, 1, 0, Optional.empty()));
+            node.advance(1_000);
+        }
+        double afterMs = node.state.loads().get("assistant").get().time().meanMs();
+        int averaged = 50;
+        double lastMs = beforeMs + averaged * (afterMs - beforeMs);
+        assertThat(lastMs).isCloseTo(tokens / tokensPerMs, withinPercentage(10));
+    }
+
     /** An answer that is not streamed arrives when all of it is generated, which says nothing about the prompt. */
     @Test
     void wholeCompletionsAreNoEvidenceOfThePrefillRate() {
