Report the queued requests of each service to the other nodes

Cause: a node cannot tell its share of a full pool without knowing how many requests wait at others.

Change: ServiceUse.waiting, and field 4 of ServiceUseProto; additive, so aggregators add it up. It is 0, and then left out of the message, for services without shared scheduling. ShareState gives the sum over the other nodes, and the attempts elsewhere at several servers at once.

--- a/core/src/main/java/org/fuchsiadeck/core/View.java
+++ b/core/src/main/java/org/fuchsiadeck/core/View.java
@@ -98,6 +98,15 @@
             return Map.of();
         }
 
+        /**
+         * Returns the number of queued requests of each service whose capacity all nodes share.
+         *
+         * @return requests by service, without services that have none
+         */
+        default Map<String, Integer> waitingRequests() {
+            return Map.of();
+        }
+
         /**
          * Returns the mean time for which a request of a service occupies a server.
          *
--- a/core/src/main/java/org/fuchsiadeck/core/share/ShareReport.java
+++ b/core/src/main/java/org/fuchsiadeck/core/share/ShareReport.java
@@ -84,6 +84,7 @@
      *
      * @param requests the number of requests
      * @param repeats the number of retries: attempts after the first one of a request
+     * @param waiting the number of requests queued now; 0 if the service's capacity is not shared by all nodes
      */
-    public record ServiceUse(long requests, long repeats) {}
+    public record ServiceUse(long requests, long repeats, long waiting) {}
 }
--- a/core/src/main/java/org/fuchsiadeck/core/share/ShareReports.java
+++ b/core/src/main/java/org/fuchsiadeck/core/share/ShareReports.java
@@ -53,7 +53,7 @@
                 local.refused().getOrDefault(t, 0L)
                         + (long) others.maxSum(r -> r.report().refused().getOrDefault(t, 0L))));
         Map<String, ShareReport.ServiceUse> uses = new HashMap<>();
-        services.forEach(s -> uses.put(s, combined.serviceUse(nowMs, s)));
+        services.forEach(s -> uses.put(s, combined.serviceUse(view, s)));
         Map<Long, Map<TeamId, Long>> begun = new HashMap<>();
         windows.forEach(w -> begun.put(w, combined.begunInReportedRuns(w)));
         Map<BackendId, Integer> inFlight = new HashMap<>();
@@ -114,7 +114,10 @@
             long repeats = own.repeats(service, from).total();
             services.put(
                     service,
-                    new ShareReport.ServiceUse(own.requests(service, from).total(), repeats));
+                    new ShareReport.ServiceUse(
+                            own.requests(service, from).total(),
+                            repeats,
+                            view.work().waitingRequests().getOrDefault(service, 0)));
         }
         Map<Long, Map<TeamId, Long>> begun = new HashMap<>();
         own.begun().forEach((window, counts) -> begun.put(window, counts.toJavaMap()));
--- a/core/src/main/java/org/fuchsiadeck/core/share/ShareState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/share/ShareState.java
@@ -1,5 +1,6 @@
 package org.fuchsiadeck.core.share;
 
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -8,6 +9,7 @@
 import java.util.TreeSet;
 import java.util.function.ToLongFunction;
 
+import org.fuchsiadeck.core.View;
 import org.fuchsiadeck.core.config.Quota;
 import org.fuchsiadeck.core.model.BackendId;
 import org.fuchsiadeck.core.model.NodeId;
@@ -171,6 +173,24 @@
                 : 0);
     }
 
+    /**
+     * Returns the number of attempts that the other nodes have in progress at several backend servers. The sum of the
+     * numbers of single servers would be too great, since each of them is the greatest of several sources.
+     *
+     * @param nowMs the time, in milliseconds
+     * @param servers the backend servers
+     * @return the number according to recent reports
+     */
+    public int inFlightElsewhere(long nowMs, Collection<BackendId> servers) {
+        return (int) hearing.maxSum(r -> {
+            if (!r.hasFreshServers(nowMs, maxReportAgeMs())) {
+                return 0;
+            }
+            Map<BackendId, Integer> reported = r.report().inFlight();
+            return servers.stream().mapToInt(id -> reported.getOrDefault(id, 0)).sum();
+        });
+    }
+
     /**
      * Returns the number of prompt tokens that a backend server has yet to process for the other nodes.
      *
@@ -368,8 +388,27 @@
         return requests(nowMs, service) * 1_000 / rules.retryWindowMs();
     }
 
-    ShareReport.ServiceUse serviceUse(long nowMs, String service) {
-        return new ShareReport.ServiceUse(Math.round(requests(nowMs, service)), Math.round(retries(nowMs, service)));
+    ShareReport.ServiceUse serviceUse(View view, String service) {
+        long nowMs = view.nowMs();
+        int waitingHere = view.work().waitingRequests().getOrDefault(service, 0);
+        return new ShareReport.ServiceUse(
+                Math.round(requests(nowMs, service)),
+                Math.round(retries(nowMs, service)),
+                waitingHere + waitingElsewhere(nowMs, service));
+    }
+
+    /**
+     * Returns the number of requests of a service that are queued at the other nodes.
+     *
+     * @param nowMs the time, in milliseconds
+     * @param service the name of the service
+     * @return the number according to recent reports
+     */
+    public int waitingElsewhere(long nowMs, String service) {
+        return (int) hearing.maxSum(r -> {
+            ShareReport.ServiceUse use = r.report().services().get(service);
+            return use == null || !r.isFresh(nowMs, maxReportAgeMs()) ? 0 : use.waiting();
+        });
     }
 
     private double requests(long nowMs, String service) {
@@ -382,8 +421,13 @@
         return local + peerServiceUsage(nowMs, service, ShareReport.ServiceUse::repeats);
     }
 
-    /** Returns the number of nodes that recent reports cover, including this one. */
-    int reportingNodes(long nowMs) {
+    /**
+     * Returns the number of nodes that recent reports cover.
+     *
+     * @param nowMs the time, in milliseconds
+     * @return the number of nodes, including this one
+     */
+    public int reportingNodes(long nowMs) {
         return 1 + (int) hearing.maxSum(r -> r.isFresh(nowMs, maxReportAgeMs()) ? r.nodes() : 0);
     }
 
--- a/node/src/main/java/org/fuchsiadeck/node/peer/ShareCodecs.java
+++ b/node/src/main/java/org/fuchsiadeck/node/peer/ShareCodecs.java
@@ -64,7 +64,8 @@
                 .forEach((service, use) -> p.addServices(ServiceUseProto.newBuilder()
                         .setService(service)
                         .setRequests(use.requests())
-                        .setRepeats(use.repeats())));
+                        .setRepeats(use.repeats())
+                        .setWaiting(use.waiting())));
         m.begun()
                 .forEach((window, counts) -> p.addBegun(
                         BegunProto.newBuilder().setWindow(window).putAllCounts(named(counts, TeamId::value))));
@@ -78,7 +79,9 @@
     private static ShareReport report(ShareReportProto p) {
         Map<String, ShareReport.ServiceUse> services = new HashMap<>();
         for (ServiceUseProto use : p.getServicesList()) {
-            services.put(use.getService(), new ShareReport.ServiceUse(use.getRequests(), use.getRepeats()));
+            services.put(
+                    use.getService(),
+                    new ShareReport.ServiceUse(use.getRequests(), use.getRepeats(), use.getWaiting()));
         }
         Map<Long, Map<TeamId, Long>> begun = new HashMap<>();
         for (BegunProto window : p.getBegunList()) {
