Queue requests at the nodes while the servers are full over all nodes

Cause: a node compares only its own attempts with a server's slots. 80 nodes never find 98 servers full, so a burst is queued in the servers, which refuse what exceeds their queues, and it is sent again.

Change: SharedCapacity decides by the attempts of all nodes in a pool whether it is full, and at which rate a node then releases its queued requests; CapacityGate uses it for routes with shared scheduling.

--- a/core/src/main/java/org/fuchsiadeck/core/NodeState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/NodeState.java
@@ -158,6 +158,11 @@
             return state.requests.unread();
         }
 
+        @Override
+        public Map<String, Integer> waitingRequests() {
+            return state.requests.waiting();
+        }
+
         @Override
         public OptionalDouble meanRequestMs(String service) {
             return state.requests
--- a/core/src/main/java/org/fuchsiadeck/core/limit/ServiceLoad.java
+++ b/core/src/main/java/org/fuchsiadeck/core/limit/ServiceLoad.java
@@ -7,10 +7,11 @@
  * @param meanMs moving average of the duration of attempts, in milliseconds; 0 before the first has ended
  * @param tokenMs moving average of the time between tokens, in milliseconds; 0 before the first stream
  * @param time estimate of the server time per request
+ * @param capacity the capacity that all nodes share
  */
-public record ServiceLoad(int inFlight, double meanMs, double tokenMs, RequestTime time) {
+public record ServiceLoad(int inFlight, double meanMs, double tokenMs, RequestTime time, ServiceCapacity capacity) {
     /** The load of a service without attempts. */
-    public static final ServiceLoad NONE = new ServiceLoad(0, 0, 0, RequestTime.NONE);
+    public static final ServiceLoad NONE = new ServiceLoad(0, 0, 0, RequestTime.NONE, ServiceCapacity.NONE);
 
     private static final double GAIN = 0.1;
 
@@ -20,7 +21,7 @@
      * @return the updated load
      */
     public ServiceLoad withDispatch() {
-        return new ServiceLoad(inFlight + 1, meanMs, tokenMs, time);
+        return new ServiceLoad(inFlight + 1, meanMs, tokenMs, time, capacity);
     }
 
     /**
@@ -30,7 +31,7 @@
      * @return the updated load
      */
     public ServiceLoad withNewRequest(double serverTimeMs) {
-        return new ServiceLoad(inFlight, meanMs, tokenMs, time.add(serverTimeMs));
+        return new ServiceLoad(inFlight, meanMs, tokenMs, time.add(serverTimeMs), capacity);
     }
 
     /**
@@ -41,17 +42,29 @@
      * @return the updated load
      */
     public ServiceLoad withEndedAttempt(double durationMs, double perTokenMs) {
-        return new ServiceLoad(inFlight - 1, average(meanMs, durationMs), average(tokenMs, perTokenMs), time);
+        return new ServiceLoad(inFlight - 1, average(meanMs, durationMs), average(tokenMs, perTokenMs), time, capacity);
     }
 
     /**
-     * Predicts how long a queued request waits, from the rate at which the attempts in progress end.
+     * Returns the load with another state of the capacity that all nodes share.
+     *
+     * @param next the capacity
+     * @return the updated load
+     */
+    public ServiceLoad with(ServiceCapacity next) {
+        return new ServiceLoad(inFlight, meanMs, tokenMs, time, next);
+    }
+
+    /**
+     * Predicts how long a queued request waits, from the rate at which the attempts in progress end; if
+     * the capacity of all nodes is used up, from the rate of releases.
      *
      * @param ahead number of queued requests ahead of it
      * @return the predicted wait, in milliseconds
      */
     public long predictedWaitMs(int ahead) {
-        return Math.round((ahead + 1) * meanMs / Math.max(1, inFlight));
+        return capacity.predictedWaitMs(ahead)
+                .orElseGet(() -> Math.round((ahead + 1) * meanMs / Math.max(1, inFlight)));
     }
 
     /**
--- a/core/src/main/java/org/fuchsiadeck/core/request/AttemptAccounting.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/AttemptAccounting.java
@@ -38,6 +38,7 @@
                 request,
                 s -> s.with(s.limit().withAnswer(now, attempt.firstByteLatencyMs(), s.inFlight(), max))
                         .with(Health.GOOD));
+        CapacityGate.onCompleted(reduction, request);
         closeAttempt(reduction, request, Verdict.GOOD, now - attempt.dispatchedMs());
     }
 
@@ -60,6 +61,9 @@
             logLost(reduction, request, failure);
         }
         PromptChecks.recordFailure(reduction, request, failure);
+        if (failure.kind() == Failure.Kind.REFUSED_NOT_RUN) {
+            CapacityGate.onRefused(reduction, request);
+        }
         closeAttempt(reduction, request, leaving ? Verdict.NEUTRAL : verdictOf(failure), -1);
     }
 
--- a/core/src/main/java/org/fuchsiadeck/core/request/Dispatcher.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Dispatcher.java
@@ -46,8 +46,11 @@
                 reduction.view().peers().alive().size() + 1,
                 ServerEstimates.standard(reduction.view().self().zone()));
         ToIntFunction<Backend> max = b -> Policies.of(reduction, b).backendConcurrency();
-        return new PlacementFinder(reduction.state().fleet(), reduction.view().shares(), reduction.router(), max)
-                .find(request.wanted(), query);
+        PlacementFinder finder =
+                new PlacementFinder(reduction.state().fleet(), reduction.view().shares(), reduction.router(), max);
+        return SharedScheduling.isOn(reduction, request.route())
+                ? CapacityGate.find(reduction, request, finder, query)
+                : finder.find(request.wanted(), query);
     }
 
     /** Returns the refusal of a new request if no server may take it, now or later in the queue. */
@@ -93,6 +96,7 @@
                 .sent(prefixHashes(request), backend.id())
                 .withLimitedSend(backend.id(), now));
         reduction.updateLoad(request.route().service(), ServiceLoad::withDispatch);
+        CapacityGate.onDispatched(reduction, request);
         reduction.updateCounters(c -> c.plusDispatch(cause));
         if (number == 1) {
             request.call()
--- a/core/src/main/java/org/fuchsiadeck/core/request/RequestQueues.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/RequestQueues.java
@@ -123,6 +123,7 @@
         }
         ServerLimits.onRequestsWaiting(
                 reduction, service, queue(reduction, service).size());
+        CapacityGate.onRequestsWaiting(reduction, service);
     }
 
     /** Dispatches a queued request, or ends it if no server is left. Returns whether it left the queue. */
@@ -155,9 +156,15 @@
         reduction.state(
                 reduction.state().withQueue(service, queue(reduction, service).with(ticket)));
         reduction.put(request.queued(ticket));
-        reduction.recordDecision(request, Decision.Kind.QUEUED, Optional.empty(), "all servers are full");
+        reduction.recordDecision(
+                request,
+                Decision.Kind.QUEUED,
+                Optional.empty(),
+                "all servers are full",
+                CapacityGate.waitInputs(reduction, request));
         ServerLimits.onRequestsWaiting(
                 reduction, service, queue(reduction, service).size());
+        CapacityGate.onRequestsWaiting(reduction, service);
     }
 
     private static FairQueue queue(RequestReduction reduction, String service) {
--- a/core/src/main/java/org/fuchsiadeck/core/request/RequestReducer.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/RequestReducer.java
@@ -148,6 +148,8 @@
             DrainHandler.onDrained(reduction);
         } else if (event instanceof RequestReducerEvent.LimitReviewDue due) {
             ServerLimits.onReviewDue(reduction, due.backend());
+        } else if (event instanceof RequestReducerEvent.CapacityDue due) {
+            CapacityGate.onDue(reduction, due.service());
         } else if (event instanceof RequestReducerEvent.ServerDue due) {
             Option<BackendStatus> server = reduction.state().fleet().servers().get(due.backend());
             server.forEach(s -> reduction.markServiceReady(s.backend().service()));
--- a/core/src/main/java/org/fuchsiadeck/core/request/RequestReducerEvent.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/RequestReducerEvent.java
@@ -22,6 +22,13 @@
      */
     record LimitReviewDue(BackendId backend) implements RequestReducerEvent {}
 
+    /**
+     * The queue of a service is due to be reviewed, because a release is due or capacity may have become free.
+     *
+     * @param service the name of the service
+     */
+    record CapacityDue(String service) implements RequestReducerEvent {}
+
     /** The notice period of a graceful shutdown is nearly over. */
     record DrainDue() implements RequestReducerEvent {}
 
--- a/core/src/main/java/org/fuchsiadeck/core/request/RequestState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/RequestState.java
@@ -9,6 +9,7 @@
 import org.fuchsiadeck.core.config.PolicyCache;
 import org.fuchsiadeck.core.limit.FairQueue;
 import org.fuchsiadeck.core.limit.RetryBudget;
+import org.fuchsiadeck.core.limit.ServiceCapacity;
 import org.fuchsiadeck.core.limit.ServiceLoad;
 import org.fuchsiadeck.core.model.Backend;
 import org.fuchsiadeck.core.model.BackendId;
@@ -98,6 +99,27 @@
         return positiveValues(BackendStatus::unread);
     }
 
+    /**
+     * Returns the number of queued requests of each service whose capacity all nodes share.
+     *
+     * @return the number of requests, by service; services without any are left out
+     */
+    public java.util.Map<String, Integer> waiting() {
+        return queues.filterKeys(s -> !capacity(s).pools().isEmpty())
+                .mapValues(FairQueue::size)
+                .toJavaMap();
+    }
+
+    /**
+     * Returns the capacity of a service that all nodes share.
+     *
+     * @param service the name of the service
+     * @return the capacity
+     */
+    public ServiceCapacity capacity(String service) {
+        return loads.getOrElse(service, ServiceLoad.NONE).capacity();
+    }
+
     private java.util.Map<BackendId, Integer> positiveValues(ToIntFunction<BackendStatus> property) {
         java.util.Map<BackendId, Integer> values = new java.util.HashMap<>();
         for (BackendStatus server : fleet.servers().values()) {
--- a/core/src/main/java/org/fuchsiadeck/core/routing/Fleet.java
+++ b/core/src/main/java/org/fuchsiadeck/core/routing/Fleet.java
@@ -290,6 +290,32 @@
         return found.size() == usable.size() ? found : Array.empty();
     }
 
+    /**
+     * Returns the servers that meet a need and that requests may be sent to.
+     *
+     * @param need the need, of which there is a pool
+     * @param nowMs the time, in milliseconds
+     * @return the servers that are listed, do not leave and are not suspected
+     */
+    public Array<BackendStatus> liveServers(Need need, long nowMs) {
+        return pools.get(need)
+                .map(Pool::all)
+                .getOrElse(Array.empty())
+                .filter(id -> !departures.containsKey(id))
+                .flatMap(servers::get)
+                .filter(s -> s.listed() && !s.health().isSuspected(nowMs));
+    }
+
+    /**
+     * Returns the number of listed servers that meet a need, including those that other nodes send requests to.
+     *
+     * @param need the need
+     * @return the number of servers
+     */
+    public int countListed(Need need) {
+        return servers.count(s -> s._2.listed() && need.isMetBy(s._2.backend()));
+    }
+
     private Fleet withLimits(Map<BackendId, ServerLimit> next) {
         return new Fleet(servers, departures, pools, peers, sent, next, slowdownServices);
     }
--- a/core/src/main/java/org/fuchsiadeck/core/routing/PlacementFinder.java
+++ b/core/src/main/java/org/fuchsiadeck/core/routing/PlacementFinder.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.Predicate;
+import java.util.function.ToIntBiFunction;
 import java.util.function.ToIntFunction;
 
 import io.vavr.collection.Array;
@@ -17,8 +18,36 @@
  * @param shares the current traffic shares of the versions
  * @param router the router that chooses among the servers that may take the request
  * @param maxConcurrency returns the maximum concurrency allowed at a server
+ * @param limit returns the number of attempts that this node may have at a server, given the maximum concurrency
  */
-public record PlacementFinder(Fleet fleet, VersionShares shares, Router router, ToIntFunction<Backend> maxConcurrency) {
+public record PlacementFinder(
+        Fleet fleet,
+        VersionShares shares,
+        Router router,
+        ToIntFunction<Backend> maxConcurrency,
+        ToIntBiFunction<BackendStatus, Integer> limit) {
+    /**
+     * Creates a finder that goes by this node's own counts.
+     *
+     * @param fleet the fleet, which must contain the pool of the request's need
+     * @param shares the current traffic shares of the versions
+     * @param router the router that chooses among the servers that may take the request
+     * @param maxConcurrency returns the maximum concurrency allowed at a server
+     */
+    public PlacementFinder(Fleet fleet, VersionShares shares, Router router, ToIntFunction<Backend> maxConcurrency) {
+        this(fleet, shares, router, maxConcurrency, (s, max) -> s.limit().maxInFlight(max));
+    }
+
+    /**
+     * Returns a finder that goes by other limits.
+     *
+     * @param next returns the number of attempts that this node may have at a server, given the maximum concurrency
+     * @return the finder
+     */
+    public PlacementFinder withLimit(ToIntBiFunction<BackendStatus, Integer> next) {
+        return new PlacementFinder(fleet, shares, router, maxConcurrency, next);
+    }
+
     /** Whether any server may take a request now. */
     public enum Availability {
         /** A server was found. */
@@ -138,7 +167,7 @@
         boolean limitAllows = fleet.limits().get(server.backend().id()).forAll(l -> l.allowsSend(context.nowMs()));
         return limitAllows
                 && context.nowMs() >= server.pausedUntilMs()
-                && server.inFlight() < server.limit().maxInFlight(maxConcurrency.applyAsInt(server.backend()));
+                && server.inFlight() < limit.applyAsInt(server, maxConcurrency.applyAsInt(server.backend()));
     }
 
     private static boolean isPreferred(BackendStatus server, PlacementRequest request, RoutingContext context) {
--- a/core/src/main/java/org/fuchsiadeck/core/routing/RoutingContext.java
+++ b/core/src/main/java/org/fuchsiadeck/core/routing/RoutingContext.java
@@ -53,6 +53,29 @@
         requireNonNull(estimates, "estimates");
     }
 
+    /**
+     * Returns this context with another count of the other nodes' attempts.
+     *
+     * @param next returns the attempts that other nodes have in progress at a server
+     * @return the context
+     */
+    public RoutingContext withInFlightElsewhere(ToIntFunction<Backend> next) {
+        return new RoutingContext(
+                nowMs,
+                zone,
+                prefixHashes,
+                sent,
+                seed,
+                previousChoices,
+                weight,
+                targetMs,
+                prompt,
+                next,
+                unreadElsewhere,
+                nodeCount,
+                estimates);
+    }
+
     /**
      * The length of a prompt and of its prefixes.
      *
--- a/core/src/test/java/org/fuchsiadeck/core/scale/SimulatedFleet.java
+++ b/core/src/test/java/org/fuchsiadeck/core/scale/SimulatedFleet.java
@@ -220,7 +220,7 @@
                 Set.of("m"),
                 Set.of(),
                 Set.of(),
-                12,
+                value.matches("[0-9]+") ? Integer.parseInt(value) : 12,
                 1,
                 true,
                 value.equals("leaving"));
--- a/node/src/main/java/org/fuchsiadeck/node/Node.java
+++ b/node/src/main/java/org/fuchsiadeck/node/Node.java
@@ -162,6 +162,9 @@
         metrics.registerGauge(
                 "servers.limited",
                 () -> loop.state().requests().fleet().limits().count(l -> l._2.active()));
+        metrics.registerGauge("capacity.in_use", () -> CapacityFigures.inUse(loop.state(), loop.nowMs()));
+        metrics.registerGauge("capacity.waiting", () -> CapacityFigures.waiting(loop.state(), loop.nowMs()));
+        metrics.registerGauge("capacity.releases", () -> CapacityFigures.releases(loop.state()));
         loop.start();
         loop.post(new LifecycleEvent.Started());
         loop.post(new MembershipEvent.Seeded(settings.peerSeeds()));
