--- a/core/src/main/java/org/fuchsiadeck/core/request/Dispatcher.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/Dispatcher.java
@@ -45,8 +45,11 @@
                 reduction.view().peers().alive().size() + 1,
                 estimates(reduction, request, seed));
         ToIntFunction<Backend> max = b -> Policies.of(reduction, b).backendConcurrency();
-        return new PlacementFinder(reduction.state().fleet(), reduction.view().shares(), reduction.router(), max)
-                .find(request.wanted(), query);
+        PlacementFinder finder =
+                new PlacementFinder(reduction.state().fleet(), reduction.view().shares(), reduction.router(), max);
+        return SharedScheduling.isOn(reduction, request.route())
+                ? CapacityGate.find(reduction, request, finder, query)
+                : finder.find(request.wanted(), query);
     }
 
     private static ServerEstimates estimates(RequestReduction reduction, ActiveRequest request, long seed) {
@@ -99,6 +102,7 @@
                 .sent(prefixHashes(request), backend.id())
                 .withLimitedSend(backend.id(), now));
         reduction.updateLoad(request.route().service(), ServiceLoad::withDispatch);
+        CapacityGate.onDispatched(reduction, request);
         reduction.updateCounters(c -> c.plusDispatch(cause));
         if (number == 1) {
             request.call()
