Add the units that a team spent lately over all nodes

The order of queued requests needs what each team has spent over all nodes. countedUnits also counts reports that no longer describe the present, as quotas need it. recentlySpentUnits counts fresh reports only, so that a partitioned node uses its own units.

--- a/core/src/main/java/org/fuchsiadeck/core/share/ShareState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/share/ShareState.java
@@ -262,6 +262,22 @@
         return Optional.of(new UsageRecord(medianWallMs(nowMs), spent, begun));
     }
 
+    /**
+     * Returns the units that a team has spent in the quota window, over all nodes with a recent report. Without recent
+     * reports these are the units of this node alone.
+     *
+     * @param nowMs the time, in milliseconds
+     * @param team the team
+     * @return the units
+     */
+    public double recentlySpentUnits(long nowMs, TeamId team) {
+        long window = rules.quotaWindowMs();
+        double elsewhere = hearing.maxSum(r -> r.isFresh(nowMs, maxReportAgeMs())
+                ? r.report().spent().getOrDefault(team, 0L) * remainingFraction(nowMs, r, window)
+                : 0);
+        return own.spent(team, nowMs - window).total() + elsewhere;
+    }
+
     /**
      * Returns a team's units in the window: the counted units, and the covered fraction of earlier or unknown usage.
      */
--- a/core/src/test/java/org/fuchsiadeck/core/share/ShareStateTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/share/ShareStateTest.java
@@ -159,6 +159,25 @@
         assertThat(cluster.trySpend(0, 50)).isFalse();
     }
 
+    /** The order of queued requests must not depend on reports that no longer describe the present. */
+    @Test
+    void countsUnitsSpentElsewhereWhileReportsAreRecent() {
+        Cluster cluster = new Cluster(4);
+        cluster.clockOffsetsMs.put(new NodeId("n2"), -86_400_000L);
+        cluster.deliver(new NodeId("n1"), new ShareEvent.Spent(TEAM, 100));
+        cluster.deliver(new NodeId("n2"), new ShareEvent.Spent(TEAM, 100));
+        cluster.deliver(new NodeId("n0"), new ShareEvent.Spent(TEAM, 10));
+        cluster.tick();
+        cluster.tick();
+        assertThat(cluster.state(0).recentlySpentUnits(cluster.nowMs, TEAM)).isBetween(190.0, 210.0);
+        for (int i = 0; i < 10; i++) {
+            cluster.tick(new NodeId("n0"));
+        }
+        assertThat(cluster.state(0).recentlySpentUnits(cluster.nowMs, TEAM)).isEqualTo(10.0);
+        cluster.restartAll(100, Optional.empty());
+        assertThat(cluster.state(0).recentlySpentUnits(cluster.nowMs, TEAM)).isZero();
+    }
+
     @Test
     void limitsAnIsolatedNodeToItsShareOfTheQuota() {
         Cluster cluster = new Cluster(4);
