Order queued requests by what can be served in time, under shared scheduling

Priority was strict, a team's share held per node only, and a request that could no longer be served in time waited until its deadline. With shared scheduling on, waiting time counts towards the next priority, priorities, teams and large sizes that are served far less often than others go first, teams above their share over all nodes yield, and requests that cannot be served in time are refused as soon as that is known, with return times that follow the predicted drain.

All tests of core pass.

--- a/core/src/main/java/org/fuchsiadeck/core/limit/FairQueue.java
+++ b/core/src/main/java/org/fuchsiadeck/core/limit/FairQueue.java
@@ -15,10 +15,12 @@
  * @param finish virtual finish time of the last request of each team
  * @param virtual virtual time: the greatest virtual start time of the dispatched requests; 0 while the queue is empty
  * @param sequence number of requests added so far
+ * @param history the recent outcomes of the requests; empty without shared scheduling
  */
-public record FairQueue(TreeSet<Ticket> tickets, Map<TeamId, Double> finish, double virtual, long sequence) {
+public record FairQueue(
+        TreeSet<Ticket> tickets, Map<TeamId, Double> finish, double virtual, long sequence, QueueHistory history) {
     /** An empty queue. */
-    public static final FairQueue EMPTY = new FairQueue(TreeSet.empty(), HashMap.empty(), 0, 0);
+    public static final FairQueue EMPTY = new FairQueue(TreeSet.empty(), HashMap.empty(), 0, 0, QueueHistory.NONE);
 
     /**
      * Creates a ticket for a request without adding it.
@@ -32,7 +34,7 @@
      */
     public Ticket ticketFor(RequestId id, TeamId team, int weight, int priority, double cost) {
         double start = Math.max(virtual, finish.getOrElse(team, 0.0));
-        return new Ticket(priority, start, cost / weight, sequence, id, team);
+        return new Ticket(priority, start, cost / weight, sequence, id, team, QueueTerms.NONE);
     }
 
     /**
@@ -43,7 +45,7 @@
      */
     public FairQueue with(Ticket ticket) {
         Map<TeamId, Double> finishTimes = finish.put(ticket.team(), ticket.start() + ticket.span());
-        return new FairQueue(tickets.add(ticket), finishTimes, virtual, sequence + 1);
+        return new FairQueue(tickets.add(ticket), finishTimes, virtual, sequence + 1, history);
     }
 
     /**
@@ -55,9 +57,9 @@
     public FairQueue withDispatch(Ticket ticket) {
         TreeSet<Ticket> remaining = tickets.remove(ticket);
         if (remaining.isEmpty()) {
-            return new FairQueue(remaining, HashMap.empty(), 0, sequence);
+            return new FairQueue(remaining, HashMap.empty(), 0, sequence, history);
         }
-        return new FairQueue(remaining, finish, Math.max(virtual, ticket.start()), sequence);
+        return new FairQueue(remaining, finish, Math.max(virtual, ticket.start()), sequence, history);
     }
 
     /**
@@ -70,11 +72,37 @@
     public FairQueue without(Ticket ticket) {
         TreeSet<Ticket> remaining = tickets.remove(ticket);
         if (remaining.isEmpty()) {
-            return new FairQueue(remaining, HashMap.empty(), 0, sequence);
+            return new FairQueue(remaining, HashMap.empty(), 0, sequence, history);
         }
         boolean last = finish.getOrElse(ticket.team(), 0.0) == ticket.start() + ticket.span();
         Map<TeamId, Double> finishTimes = last ? finish.put(ticket.team(), ticket.start()) : finish;
-        return new FairQueue(remaining, finishTimes, virtual, sequence);
+        return new FairQueue(remaining, finishTimes, virtual, sequence, history);
+    }
+
+    /**
+     * Returns this queue without a request that is refused although later ones of its team stay. The virtual duration is
+     * credited to the team's next request, so that a team does not pay for requests that were not run.
+     *
+     * @param ticket the ticket of the request
+     * @return the updated queue
+     */
+    public FairQueue withRefusal(Ticket ticket) {
+        FairQueue rest = without(ticket);
+        double credited = finish.getOrElse(ticket.team(), 0.0) - ticket.span();
+        boolean queued = rest.finish().containsKey(ticket.team());
+        return queued
+                ? new FairQueue(rest.tickets, rest.finish.put(ticket.team(), credited), virtual, sequence, history)
+                : rest;
+    }
+
+    /**
+     * Returns this queue with another history.
+     *
+     * @param next the recent outcomes
+     * @return the updated queue
+     */
+    public FairQueue with(QueueHistory next) {
+        return new FairQueue(tickets, finish, virtual, sequence, next);
     }
 
     /**
@@ -111,4 +139,13 @@
     public int size() {
         return tickets.size();
     }
+
+    /**
+     * Returns whether nothing needs to be kept of the queue.
+     *
+     * @return whether it is empty and has no history
+     */
+    public boolean isForgotten() {
+        return tickets.isEmpty() && history.isEmpty();
+    }
 }
--- a/core/src/main/java/org/fuchsiadeck/core/limit/Ticket.java
+++ b/core/src/main/java/org/fuchsiadeck/core/limit/Ticket.java
@@ -15,13 +15,25 @@
  * @param sequence number of requests added to the queue before it
  * @param id the request
  * @param team the team that the request is charged to
+ * @param terms the times that matter under shared scheduling; {@link QueueTerms#NONE} without it
  */
-public record Ticket(int priority, double start, double span, long sequence, RequestId id, TeamId team)
+public record Ticket(
+        int priority, double start, double span, long sequence, RequestId id, TeamId team, QueueTerms terms)
         implements Comparable<Ticket> {
     private static final Comparator<Ticket> ORDER = Comparator.comparingInt((Ticket t) -> -t.priority)
             .thenComparingDouble(Ticket::start)
             .thenComparingLong(Ticket::sequence);
 
+    /**
+     * Returns this ticket with the times that matter under shared scheduling.
+     *
+     * @param next the times
+     * @return the ticket, at the same position of a {@link FairQueue}
+     */
+    public Ticket with(QueueTerms next) {
+        return new Ticket(priority, start, span, sequence, id, team, next);
+    }
+
     @Override
     public int compareTo(Ticket other) {
         return ORDER.compare(this, other);
--- a/core/src/main/java/org/fuchsiadeck/core/request/RequestCounters.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/RequestCounters.java
@@ -16,6 +16,7 @@
  * @param stale answers dropped because they match no attempt in progress
  * @param suspicions number of times that a backend server became suspected
  * @param pauses number of times that a backend server asked for a pause
+ * @param queueing events of the queue order under shared scheduling, by name; empty without it
  */
 public record RequestCounters(
         long answered,
@@ -27,10 +28,11 @@
         Map<DispatchCause, Long> recomputedTokens,
         long stale,
         long suspicions,
-        long pauses) {
+        long pauses,
+        Map<String, Long> queueing) {
     /** Counters that are all zero. */
-    public static final RequestCounters ZERO =
-            new RequestCounters(0, TreeMap.empty(), TreeMap.empty(), 0, 0, TreeMap.empty(), TreeMap.empty(), 0, 0, 0);
+    public static final RequestCounters ZERO = new RequestCounters(
+            0, TreeMap.empty(), TreeMap.empty(), 0, 0, TreeMap.empty(), TreeMap.empty(), 0, 0, 0, TreeMap.empty());
 
     /**
      * Returns the number of attempts dispatched.
@@ -52,7 +54,8 @@
                 recomputedTokens,
                 stale,
                 suspicions,
-                pauses);
+                pauses,
+                queueing);
     }
 
     RequestCounters plusRefused(String reason) {
@@ -66,7 +69,8 @@
                 recomputedTokens,
                 stale,
                 suspicions,
-                pauses);
+                pauses,
+                queueing);
     }
 
     RequestCounters plusUnknown(String reason) {
@@ -80,7 +84,8 @@
                 recomputedTokens,
                 stale,
                 suspicions,
-                pauses);
+                pauses,
+                queueing);
     }
 
     RequestCounters plusDuplicate() {
@@ -94,7 +99,8 @@
                 recomputedTokens,
                 stale,
                 suspicions,
-                pauses);
+                pauses,
+                queueing);
     }
 
     RequestCounters plusCallerGone() {
@@ -108,7 +114,8 @@
                 recomputedTokens,
                 stale,
                 suspicions,
-                pauses);
+                pauses,
+                queueing);
     }
 
     RequestCounters plusDispatch(DispatchCause cause) {
@@ -122,7 +129,8 @@
                 recomputedTokens,
                 stale,
                 suspicions,
-                pauses);
+                pauses,
+                queueing);
     }
 
     RequestCounters plusRecomputed(DispatchCause cause, int tokens) {
@@ -138,7 +146,8 @@
                         add(recomputedTokens, cause, tokens),
                         stale,
                         suspicions,
-                        pauses);
+                        pauses,
+                        queueing);
     }
 
     RequestCounters plusStale() {
@@ -152,7 +161,8 @@
                 recomputedTokens,
                 stale + 1,
                 suspicions,
-                pauses);
+                pauses,
+                queueing);
     }
 
     RequestCounters plusSuspicion() {
@@ -166,7 +176,8 @@
                 recomputedTokens,
                 stale,
                 suspicions + 1,
-                pauses);
+                pauses,
+                queueing);
     }
 
     RequestCounters plusPause() {
@@ -180,7 +191,24 @@
                 recomputedTokens,
                 stale,
                 suspicions,
-                pauses + 1);
+                pauses + 1,
+                queueing);
+    }
+
+    /** Counts an event of the queue order: {@code aged}, {@code overtaken} or {@code early_refused}. */
+    RequestCounters plusQueueing(String event) {
+        return new RequestCounters(
+                answered,
+                refused,
+                unknown,
+                duplicates,
+                callersGone,
+                dispatches,
+                recomputedTokens,
+                stale,
+                suspicions,
+                pauses,
+                add(queueing, event, 1));
     }
 
     private static <K> Map<K, Long> add(Map<K, Long> counts, K key, long amount) {
--- a/core/src/main/java/org/fuchsiadeck/core/request/RequestQueues.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/RequestQueues.java
@@ -1,10 +1,10 @@
 package org.fuchsiadeck.core.request;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
-import io.vavr.control.Option;
 import org.fuchsiadeck.core.config.Team;
 import org.fuchsiadeck.core.limit.FairQueue;
 import org.fuchsiadeck.core.limit.ServiceLoad;
@@ -19,7 +19,7 @@
  */
 final class RequestQueues {
     /** Priority of requests that were dispatched before. Exceeds every route's, as work already done would be lost. */
-    private static final int RETRY_PRIORITY = 10;
+    static final int RETRY_PRIORITY = 10;
 
     private static final long MIN_RETRY_AFTER_MS = 1_000;
 
@@ -51,6 +51,8 @@
         String service = request.route().service();
         FairQueue queue = queue(reduction, service);
         Ticket ticket = ticket(reduction, request, queue);
+        int ahead = SharedOrder.countAhead(reduction, queue, ticket);
+        SharedOrder.recordArrival(reduction, service, ticket);
         if (found.pausedUntilMs() > request.deadlineMs()) {
             RequestFinisher.refuse(
                     reduction,
@@ -58,7 +60,7 @@
                     new Refusal("backends_paused", reduction.withJitter(found.pausedUntilMs() - reduction.nowMs())));
             return;
         }
-        long sendMs = ServerLimits.earliestSendMs(reduction, request, queue.countAhead(ticket));
+        long sendMs = ServerLimits.earliestSendMs(reduction, request, ahead);
         if (sendMs > request.deadlineMs()) {
             RequestFinisher.refuse(
                     reduction,
@@ -66,23 +68,42 @@
                     new Refusal("backends_limited", reduction.withJitter(sendMs - reduction.nowMs())));
             return;
         }
-        long waitMs = predictedWaitMs(reduction, service, queue.countAhead(ticket));
-        if (Math.max(reduction.nowMs(), found.pausedUntilMs()) + waitMs > request.deadlineMs()) {
-            RequestFinisher.refuse(reduction, request, new Refusal("wait_too_long", retryAfterMs(reduction, service)));
+        if (isTooLate(reduction, request, ticket, ahead, Math.max(reduction.nowMs(), found.pausedUntilMs()))) {
+            refuse(reduction, request, ticket, "wait_too_long", ahead);
             return;
         }
         if (queue.size() >= Policies.of(reduction, request).queueLimit() && !evictLast(reduction, service, ticket)) {
-            RequestFinisher.refuse(reduction, request, new Refusal("queue_full", retryAfterMs(reduction, service)));
+            refuse(reduction, request, ticket, "queue_full", ahead);
             return;
         }
         Quotas.charge(reduction, request);
-        append(reduction, request, ticket);
+        append(reduction, request, ticket, ahead);
+        SharedOrder.scheduleCheck(reduction, request, ticket);
+    }
+
+    private static boolean isTooLate(
+            RequestReduction reduction, ActiveRequest request, Ticket ticket, int ahead, long fromMs) {
+        if (ticket.terms().isShared()) {
+            return SharedOrder.isTooLate(reduction, request, ticket, ahead, fromMs);
+        }
+        return fromMs + predictedWaitMs(reduction, request.route().service(), ahead) > request.deadlineMs();
     }
 
     /** Queues a request that has been dispatched before. */
     static void requeue(RequestReduction reduction, ActiveRequest request) {
         FairQueue queue = queue(reduction, request.route().service());
-        append(reduction, request, ticket(reduction, request, queue));
+        Ticket ticket = ticket(reduction, request, queue);
+        append(reduction, request, ticket, SharedOrder.countAhead(reduction, queue, ticket));
+    }
+
+    private static void refuse(
+            RequestReduction reduction, ActiveRequest request, Ticket ticket, String reason, int ahead) {
+        if (ticket.terms().isShared()) {
+            SharedOrder.refuse(reduction, request, ticket, reason, ahead);
+            return;
+        }
+        long retryMs = retryAfterMs(reduction, request.route().service());
+        RequestFinisher.refuse(reduction, request, new Refusal(reason, retryMs));
     }
 
     /** Removes a request that ends from its queue, if it is queued. */
@@ -92,29 +113,28 @@
         }
         String service = request.route().service();
         FairQueue queue = queue(reduction, service);
-        reduction.state(reduction
-                .state()
-                .withQueue(service, queue.without(request.ticket().get())));
+        reduction.state(reduction.state().withQueue(service, SharedOrder.withoutEnded(reduction, queue, request)));
     }
 
     /** Refuses the last request of a full queue if the given ticket is ahead of it. Returns whether it did. */
     private static boolean evictLast(RequestReduction reduction, String service, Ticket ticket) {
-        Option<Ticket> last = queue(reduction, service).last();
-        if (last.isEmpty()
-                || last.get().priority() == RETRY_PRIORITY
-                || last.get().compareTo(ticket) < 0) {
+        FairQueue queue = queue(reduction, service);
+        List<Ticket> order = SharedOrder.sort(reduction, queue.with(ticket));
+        Ticket last = order.get(order.size() - 1);
+        if (last.priority() == RETRY_PRIORITY || last.id().equals(ticket.id())) {
             return false;
         }
-        ActiveRequest evicted = reduction.find(last.get().id()).get();
-        RequestFinisher.refuse(reduction, evicted, new Refusal("queue_full", retryAfterMs(reduction, service)));
+        ActiveRequest evicted = reduction.find(last.id()).get();
+        refuse(reduction, evicted, last, "queue_full", queue.size());
         return true;
     }
 
     /** Dispatches all queued requests of a service for which a server has capacity, in queue order. */
     static void dispatchReady(RequestReduction reduction, String service) {
-        FairQueue queue = queue(reduction, service);
+        SharedOrder.refuseLate(reduction, service);
+        List<Ticket> order = SharedOrder.sort(reduction, queue(reduction, service));
         Set<Requirements> blocked = new HashSet<>();
-        for (Ticket ticket : queue.tickets()) {
+        for (Ticket ticket : order) {
             ActiveRequest request = reduction.find(ticket.id()).get();
             Requirements requirements = Requirements.of(reduction, request);
             if (!blocked.contains(requirements) && !dispatchReady(reduction, request, ticket)) {
@@ -130,8 +150,9 @@
         PlacementResult found = Dispatcher.findServer(reduction, request);
         if (found.choice().isDefined()) {
             String service = request.route().service();
-            FairQueue queue = queue(reduction, service);
-            reduction.state(reduction.state().withQueue(service, queue.withDispatch(ticket)));
+            FairQueue rest = queue(reduction, service).withDispatch(ticket);
+            FairQueue next = SharedOrder.withDispatched(reduction, rest, ticket);
+            reduction.state(reduction.state().withQueue(service, next));
             Dispatcher.dispatch(
                     reduction, request, found.choice().get(), request.history().next());
             return true;
@@ -147,15 +168,22 @@
         Team team = Policies.team(reduction.view(), request.call().team());
         int configured = team.priority() > 0 ? team.priority() : request.route().priority();
         int priority = request.history().attempts() > 0 ? RETRY_PRIORITY : configured;
-        return queue.ticketFor(request.id(), team.id(), team.weight(), priority, cost(request.call()));
+        double cost = cost(request.call());
+        return queue.ticketFor(request.id(), team.id(), team.weight(), priority, cost)
+                .with(SharedOrder.terms(reduction, request, cost));
     }
 
-    private static void append(RequestReduction reduction, ActiveRequest request, Ticket ticket) {
+    private static void append(RequestReduction reduction, ActiveRequest request, Ticket ticket, int ahead) {
         String service = request.route().service();
         reduction.state(
                 reduction.state().withQueue(service, queue(reduction, service).with(ticket)));
         reduction.put(request.queued(ticket));
-        reduction.recordDecision(request, Decision.Kind.QUEUED, Optional.empty(), "all servers are full");
+        reduction.recordDecision(
+                request,
+                Decision.Kind.QUEUED,
+                Optional.empty(),
+                "all servers are full",
+                SharedOrder.inputs(reduction, request, ahead));
         ServerLimits.onRequestsWaiting(
                 reduction, service, queue(reduction, service).size());
     }
--- a/core/src/main/java/org/fuchsiadeck/core/request/RequestState.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/RequestState.java
@@ -118,7 +118,7 @@
     }
 
     RequestState withQueue(String service, FairQueue next) {
-        Map<String, FairQueue> all = next.size() == 0 ? queues.remove(service) : queues.put(service, next);
+        Map<String, FairQueue> all = next.isForgotten() ? queues.remove(service) : queues.put(service, next);
         return new RequestState(fleet, open, all, loads, budget, draws, drain, decisions, counters, policies);
     }
 
--- a/core/src/main/java/org/fuchsiadeck/core/request/RequestTimers.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/RequestTimers.java
@@ -150,6 +150,7 @@
 
     private static void deadlineReached(RequestReduction reduction, ActiveRequest request) {
         if (reduction.nowMs() < request.deadlineMs()) {
+            SharedOrder.refuseIfLate(reduction, request);
             return;
         }
         if (request.attempt().isEmpty()) {
--- a/node/src/main/java/org/fuchsiadeck/node/Node.java
+++ b/node/src/main/java/org/fuchsiadeck/node/Node.java
@@ -342,6 +342,7 @@
                 loop.state().quarantine().quarantines().size());
         counters.refused().forEach((reason, n) -> all.put("requests.refused." + reason, n));
         counters.unknown().forEach((reason, n) -> all.put("requests.unknown." + reason, n));
+        counters.queueing().forEach((event, n) -> all.put("queue." + event, n));
         counters.dispatches().forEach((cause, n) -> all.put("requests.placed." + cause, n));
         return all;
     }
