--- a/core/src/test/java/org/fuchsiadeck/core/request/SharedOrderTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/request/SharedOrderTest.java
@@ -147,6 +147,17 @@
         assertThat(node.state.counters().queueing().get("overtaken").isEmpty()).isTrue();
     }
 
+    @Test
+    void countsARequestThatOvertakesALateOneOfItsTeam() {
+        observe(100);
+        arrive("late", LOW, 12_000, 0);
+        node.nowMs += 1;
+        arrive("on time", LOW, 100, 0);
+        assertThat(firstDispatch(node.completeAnswer("running", 1)).id().value())
+                .isEqualTo("on time");
+        assertThat(node.state.counters().queueing().get("overtaken")).contains(1L);
+    }
+
     @Test
     void logsPositionAndPredictedWait() {
         observe(400);
