--- a/core/src/test/java/org/fuchsiadeck/core/limit/QueueOrderReplayTest.java
+++ b/core/src/test/java/org/fuchsiadeck/core/limit/QueueOrderReplayTest.java
@@ -14,9 +14,11 @@
 
 import org.fuchsiadeck.core.model.RequestId;
 import org.fuchsiadeck.core.model.TeamId;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -25,6 +27,7 @@
  * scarce: 98 engines, three kinds of streaming requests, and 16 teams of which one sends 7.5 times its usual load.
  */
 class QueueOrderReplayTest {
+    private static final int SEED = 7;
     private static final int TEAMS = 16;
     private static final int BURST_TEAM = 0;
     private static final double BURST_FACTOR = 7.5;
@@ -66,7 +69,7 @@
 
     private record Call(int kind, int team, double tokens, boolean large, long arrivedMs) {}
 
-    private record Setup(Order order, int nodes, int burstNodes, Fault fault) {}
+    private record Setup(Order order, int nodes, int burstNodes, Fault fault, int seed) {}
 
     /** Requests that arrived in the burst, and those of them whose first token came in time. */
     private static final class Tally {
@@ -88,7 +91,7 @@
 
     private static final class Replay {
         final Setup setup;
-        final Random random = new Random(7);
+        final Random random;
         final List<Node> nodes = new ArrayList<>();
         final Map<RequestId, Call> calls = new TreeMap<>(Comparator.comparing(RequestId::value));
         final PriorityQueue<long[]> ends = new PriorityQueue<>(Comparator.comparingLong((long[] e) -> e[0]));
@@ -99,6 +102,7 @@
 
         Replay(Setup setup) {
             this.setup = setup;
+            random = new Random(setup.seed);
             for (int i = 0; i < setup.nodes; i++) {
                 nodes.add(new Node());
                 nodes.get(i).clockMs = setup.fault == Fault.CLOCKS_DIFFER ? random.nextInt(3_600_000) : 0;
@@ -342,9 +346,9 @@
     @ParameterizedTest
     @CsvSource({"8, 1", "8, 8", "60, 4", "60, 60", "370, 8", "370, 370"})
     void servesKindsTeamsAndSizesFairlyInABurst(int nodes, int burstNodes) {
-        Replay shared = new Replay(new Setup(Order.SHARED, nodes, burstNodes, Fault.NONE)).run();
-        Replay fifo = new Replay(new Setup(Order.FIFO, nodes, burstNodes, Fault.NONE)).run();
-        Replay present = new Replay(new Setup(Order.FAIR_QUEUE, nodes, burstNodes, Fault.NONE)).run();
+        Replay shared = new Replay(new Setup(Order.SHARED, nodes, burstNodes, Fault.NONE, SEED)).run();
+        Replay fifo = new Replay(new Setup(Order.FIFO, nodes, burstNodes, Fault.NONE, SEED)).run();
+        Replay present = new Replay(new Setup(Order.FAIR_QUEUE, nodes, burstNodes, Fault.NONE, SEED)).run();
         String figures = shared.summary() + "\n" + fifo.summary() + "\n" + present.summary();
         assertFair(shared);
         assertThat(shared.tallies.get("all").onTime).as(figures).isGreaterThanOrEqualTo(fifo.tallies.get("all").onTime);
@@ -353,10 +357,18 @@
     @ParameterizedTest
     @EnumSource(value = Fault.class, names = "NONE", mode = EnumSource.Mode.EXCLUDE)
     void staysFairUnderAFault(Fault fault) {
-        Replay replay = new Replay(new Setup(Order.SHARED, 60, 60, fault)).run();
+        Replay replay = new Replay(new Setup(Order.SHARED, 60, 60, fault, SEED)).run();
         assertFair(replay);
     }
 
+    /** With hundreds of nodes, each one compares few outcomes; priority 0 can come out ahead of priority 1. */
+    @Tag("known-red")
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 4, 11, 23})
+    void staysFairInALargeFleetWithOtherSeeds(int seed) {
+        assertFair(new Replay(new Setup(Order.SHARED, 370, 8, Fault.NONE, seed)).run());
+    }
+
     private static void assertFair(Replay replay) {
         String figures = replay.summary();
         assertThat(replay.spread(k -> k.startsWith("kind"))).as(figures).isGreaterThanOrEqualTo(0.25);
