Treat a status above 599 from a backend server as a server error

Cause: answers with a status from 600 to 999 were passed on as they came. RFC 9110, section 15, calls them invalid and has clients process them as a 5xx.

Change: such an answer fails the attempt as a server error and none of it is passed on, since a caller or proxy may take an unknown status for anything, also for a success. It is not a refusal: the request may have run, so one that must not run twice is answered 502, outcome unknown. An answer that says that the request was not run is still believed.

--- a/node/src/main/java/org/fuchsiadeck/node/backend/Attempt.java
+++ b/node/src/main/java/org/fuchsiadeck/node/backend/Attempt.java
@@ -29,6 +29,7 @@
     private static final int OK = 200;
     private static final int REDIRECT = 300;
     private static final int SERVER_ERROR = 500;
+    private static final int MAX_STATUS = 599;
 
     private final Exchange exchange;
     private final RequestEffect.Dispatch dispatch;
@@ -141,6 +142,8 @@
     private void startReading(AnswerHead head) {
         if (head.notRun()) {
             fail(Kind.REFUSED_NOT_RUN, "status " + head.status() + ", not run");
+        } else if (head.status() > MAX_STATUS) {
+            fail(Kind.SERVER_ERROR, "status " + head.status() + " is not in 100..599");
         } else if (head.status() >= SERVER_ERROR && !head.forwardsError()) {
             fail(Kind.SERVER_ERROR, "status " + head.status());
         } else if (head.status() < OK || !head.delimited()) {
