Add config check, which reviews a configuration before it is sent

Cause: the parser finds mistakes, but not what is valid without effect: routes that an earlier one shadows, exceptions that never apply, and limits that contradict each other.

--- a/cli/src/main/java/org/fuchsiadeck/cli/Main.java
+++ b/cli/src/main/java/org/fuchsiadeck/cli/Main.java
@@ -8,6 +8,7 @@
 
 import org.fuchsiadeck.cli.capacity.CapacityCommand;
 import org.fuchsiadeck.cli.config.ApplyCommand;
+import org.fuchsiadeck.cli.config.CheckCommand;
 import org.fuchsiadeck.cli.config.DiffCommand;
 import org.fuchsiadeck.cli.config.ExplainCommand;
 import org.fuchsiadeck.cli.config.HistoryCommand;
@@ -56,6 +57,7 @@
         Map<String, Command> out = new LinkedHashMap<>();
         out.put("config apply", new ApplyCommand(connector));
         out.put("config show", new ShowCommand(connector));
+        out.put("config check", new CheckCommand(connector));
         out.put("config diff", new DiffCommand(connector));
         out.put("config explain", new ExplainCommand(connector));
         out.put("config history", new HistoryCommand(connector));
