Leave prompts that share a prefix to its owner in any zone

Cause: with an owner of each prefix in each zone, every prefix is read once for each zone.

Change: spillover decides only for requests that share no prefix with others.

--- a/core/src/main/java/org/fuchsiadeck/core/request/ZoneSpills.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/ZoneSpills.java
@@ -34,9 +34,16 @@
 
     private ZoneSpills() {}
 
-    /** Returns the estimates for a request, after updating the spillover of its need if that is due. */
+    /**
+     * Returns the estimates for a request, after updating the spillover of its need if that is due. A prompt that shares
+     * a prefix with others goes to the server that has read it, in whichever zone: with an owner in each zone, all
+     * prefixes would be read once for each zone, which costs callers more than the way does.
+     */
     static ServerEstimates estimates(
             RequestReduction reduction, ActiveRequest request, long seed, ServerEstimates base) {
+        if (sharesPrefix(request)) {
+            return base;
+        }
         ZoneSpill.Traits traits = request.call()
                 .completion()
                 .map(c -> ZoneSpill.Traits.of(request.call().bodyBytes(), c.promptTokens(), c.maxTokens()))
@@ -54,6 +61,13 @@
         return spill.estimates(base, seed, traits.transferMs());
     }
 
+    private static boolean sharesPrefix(ActiveRequest request) {
+        return request.call()
+                .completion()
+                .filter(c -> c.prefixTokens().size() > 1)
+                .isPresent();
+    }
+
     private static void store(RequestReduction reduction, Need need, ZoneSpill next) {
         io.vavr.collection.Map<Need, ZoneSpill> all = reduction.state().spills();
         boolean full = all.size() >= MAX_NEEDS && !all.containsKey(need);
