Draw the counts of servers at random only in a crowded pool

Cause: the random number around the reported count of a server deviates by what the server begins in a report's age when it is full. In a pool with free slots that outweighs the unread tokens and the prefixes that a server has read.

Change: reported counts are used as they are while less than 0.7 of the pool's slots are in use.

--- a/core/src/main/java/org/fuchsiadeck/core/request/CapacityGate.java
+++ b/core/src/main/java/org/fuchsiadeck/core/request/CapacityGate.java
@@ -34,6 +34,13 @@
     /** The width of a uniform distribution, in standard deviations. */
     private static final double UNIFORM_RANGE = 2 * Math.sqrt(3);
 
+    /**
+     * Fraction of a pool's slots in use from which on the reported count of a server is replaced by a random number. Below
+     * it, most servers have free slots, and the numbers would only keep requests from the servers that have read their
+     * prompts.
+     */
+    private static final double CROWDED_USE = 0.7;
+
     private CapacityGate() {}
 
     /**
@@ -55,7 +62,9 @@
         }
         ToIntBiFunction<BackendStatus, Integer> limit =
                 (s, max) -> capacity.isExcluded(s.backend().id(), reduction.nowMs()) ? 0 : limit(s, max, pool);
-        RoutingContext estimated = context.withInFlightElsewhere(b -> estimateElsewhere(b, context, pool));
+        RoutingContext estimated = pool.inUse() < CROWDED_USE
+                ? context
+                : context.withInFlightElsewhere(b -> estimateElsewhere(b, context, pool));
         PlacementResult found = finder.withLimit((s, max) -> hasRoom(s, estimated) ? limit.applyAsInt(s, max) : 0)
                 .find(request.wanted(), estimated);
         return found.choice().isDefined() ? found : finder.withLimit(limit).find(request.wanted(), estimated);
