--- a/core/src/main/java/org/fuchsiadeck/core/limit/QueueHistory.java
+++ b/core/src/main/java/org/fuchsiadeck/core/limit/QueueHistory.java
@@ -206,7 +206,7 @@
     }
 
     /**
-     * Predicts how long a queued request waits: from the rate at which requests were dispatched lately, or from the
+     * Predicts how long a queued request waits: from the rate of recent dispatches, or from the
      * attempts in progress if these predict less. A node of many has few attempts in progress, whose number at one time
      * says little about the rate; a request must not be refused for that.
      *
--- a/core/src/main/java/org/fuchsiadeck/core/routing/PlacementFinder.java
+++ b/core/src/main/java/org/fuchsiadeck/core/routing/PlacementFinder.java
@@ -27,7 +27,7 @@
         ToIntFunction<Backend> maxConcurrency,
         ToIntBiFunction<BackendStatus, Integer> limit) {
     /**
-     * Creates a finder that goes by this node's own counts.
+     * Creates a finder that uses this node's own counts.
      *
      * @param fleet the fleet, which must contain the pool of the request's need
      * @param shares the current traffic shares of the versions
@@ -39,7 +39,7 @@
     }
 
     /**
-     * Returns a finder that goes by other limits.
+     * Returns a finder with other limits.
      *
      * @param next returns the number of attempts that this node may have at a server, given the maximum concurrency
      * @return the finder
--- a/core/src/main/java/org/fuchsiadeck/core/share/BurstAllowances.java
+++ b/core/src/main/java/org/fuchsiadeck/core/share/BurstAllowances.java
@@ -16,8 +16,8 @@
  * the quota's burst, is filled at the quota's rate, and is emptied by what all nodes report as spent.
  *
  * <p>Intended for a team that sends many times its rate for seconds through many nodes. The limit of the quota window
- * alone admits all of it at first, and next to nothing for the rest of the window. Nodes hear of a rise late and admit
- * too much meanwhile; the team then gets a little less than its rate until that is made up for.
+ * alone admits all of it at first, and next to nothing for the rest of the window. Reports of a rise
+ * arrive late, so that nodes admit too much at first; the team then gets less than its rate until that is made up for.
  *
  * @param units the units left, by team; negative for what was spent too much; a team without an entry has none left
  * @param atMs when the units were last updated, in milliseconds; negative if never
