Name the fields of a policy in the configuration review by their constants

Cause: PlatformNamesTest failed on the merged code: the review spelled out max_attempts, which is also a name of the users' platform. Change: PolicyField.key() for all names of values. Result: PlatformNamesTest, CheckCommandTest and the configuration tests pass.

--- a/node/src/main/java/org/fuchsiadeck/node/config/ConfigReview.java
+++ b/node/src/main/java/org/fuchsiadeck/node/config/ConfigReview.java
@@ -9,6 +9,7 @@
 import org.fuchsiadeck.core.config.Configuration;
 import org.fuchsiadeck.core.config.ExceptionRule;
 import org.fuchsiadeck.core.config.Policy;
+import org.fuchsiadeck.core.config.PolicyField;
 import org.fuchsiadeck.core.config.Route;
 import org.fuchsiadeck.core.config.RouteOptions;
 import org.fuchsiadeck.core.config.Subject;
@@ -26,13 +27,13 @@
      * applies. Values that are not listed are looked up with all components.
      */
     private static final Map<String, Set<String>> LOOKED_UP_WITH = Map.of(
-            "backend_concurrency", Set.of("zone", "service", "version", "backend"),
-            "weight", Set.of("zone", "service", "version", "backend", "route"),
-            "max_attempts", Set.of("service", "version", "route", "team"),
-            "retry_budget_percent", Set.of("service", "version", "route", "team"),
-            "queue_limit", Set.of("service", "version", "route", "team"),
-            "shared_scheduling", Set.of("service", "route"),
-            "claim_lifetime_ms", Set.of());
+            PolicyField.BACKEND_CONCURRENCY.key(), Set.of("zone", "service", "version", "backend"),
+            PolicyField.WEIGHT.key(), Set.of("zone", "service", "version", "backend", "route"),
+            PolicyField.MAX_ATTEMPTS.key(), Set.of("service", "version", "route", "team"),
+            PolicyField.RETRY_BUDGET_PERCENT.key(), Set.of("service", "version", "route", "team"),
+            PolicyField.QUEUE_LIMIT.key(), Set.of("service", "version", "route", "team"),
+            PolicyField.SHARED_SCHEDULING.key(), Set.of("service", "route"),
+            PolicyField.CLAIM_LIFETIME_MS.key(), Set.of());
 
     private static final String WILDCARD = "*";
 
