--- a/review/stand6/review6/Worker.java
+++ b/review/stand6/review6/Worker.java
@@ -23,6 +23,9 @@
     final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
     volatile Behaviour behaviour;
 
+    /** After this time without a request, a channel is closed; 0: never. */
+    volatile int idleMs;
+
     Worker(String id, Record record, Behaviour behaviour) throws IOException {
         this.id = id;
         this.record = record;
@@ -41,6 +44,7 @@
     private void serve(Socket socket) throws Exception {
         try (socket) {
             while (true) {
+                socket.setSoTimeout(idleMs);
                 Http.Message request = Http.read(socket.getInputStream(), false);
                 if (request == null || !request.complete()) {
                     return;
