--- a/review/stand6/review6/Store.java
+++ b/review/stand6/review6/Store.java
@@ -38,6 +38,11 @@
     interface Hook {
         /** Returns whether the answer is to be kept back after the call was executed. */
         boolean loseAnswer(String port, String path, JsonNode body);
+
+        /** Returns after how many milliseconds the call is executed, without an answer; 0 for at once. */
+        default long lateMs(String port, String path, JsonNode body) {
+            return 0;
+        }
     }
 
     private final TreeMap<String, ObjectNode> items = new TreeMap<>();
@@ -128,6 +133,13 @@
             return;
         }
         ObjectNode out = JSON.createObjectNode();
+        long lateMs = hook.lateMs(name, path, body);
+        if (lateMs > 0) {
+            Thread.sleep(lateMs);
+            record.line("store executes a call of " + name + " only now, status " + execute(path, query, body, out));
+            Thread.sleep(60_000);
+            return;
+        }
         int status = execute(path, query, body, out);
         if (hook.loseAnswer(name, path, body)) {
             Thread.sleep(60_000);
